--- /dev/null
+++ b/cyclamenwood/replica.h
@@ -0,0 +1,150 @@
+// The replica reducer: all replicated logs that one process holds, with
+// their state machines, behind one pure function.
+//
+// Worked usage, as the daemon's shell does it:
+//
+//   replica_state state = make_replica(settings, "kranj-r1", identity, seed,
+//                                      now);
+//   for (const wire::wal_write& write : contents.writes)
+//     replay_write(state, write);
+//   effects = reduce(state, replica_started{now});
+//   ...
+//   effects = reduce(state, replica_received{now, envelope});
+//   append every replica_persist to the log, deliver every replica_send;
+//   when something was persisted: sync, then
+//   effects = reduce(state, replica_synced{now, sync_us});
+//
+// The reducer reads no clock and performs no I/O. `now` must not decrease.
+#ifndef CYCLAMENWOOD_REPLICA_H_
+#define CYCLAMENWOOD_REPLICA_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "cyclamenwood/bundle.h"
+#include "cyclamenwood/claims.h"
+#include "cyclamenwood/raft.h"
+#include "cyclamenwood/settings.h"
+#include "cyclamenwood/wire.pb.h"
+
+namespace cyclamenwood {
+
+// ---- Events ---------------------------------------------------------------
+
+struct replica_started {
+  unix_ms now = 0;
+};
+
+struct replica_tick {
+  unix_ms now = 0;
+};
+
+// A message from another process.
+struct replica_received {
+  unix_ms now = 0;
+  wire::envelope envelope;
+};
+
+// Everything persisted so far is on disk.
+struct replica_synced {
+  unix_ms now = 0;
+  int64_t sync_us = 0;
+};
+
+// The process was asked to stop: leadership is handed over first.
+struct replica_drain {
+  unix_ms now = 0;
+};
+
+using replica_event = std::variant<replica_started,
+                                   replica_tick,
+                                   replica_received,
+                                   replica_synced,
+                                   replica_drain>;
+
+// ---- Effects --------------------------------------------------------------
+
+struct replica_persist {
+  wire::wal_write write;
+};
+
+struct replica_send {
+  std::string host;
+  wire::envelope envelope;
+};
+
+// Something an operator wants to see.
+struct replica_note {
+  std::string name;
+  std::string group;
+  std::string detail;
+};
+
+// Leadership is handed over: the process may exit.
+struct replica_drained {};
+
+using replica_effect =
+    std::variant<replica_persist, replica_send, replica_note, replica_drained>;
+using replica_effects = std::vector<replica_effect>;
+
+// ---- State ----------------------------------------------------------------
+
+// A request that waits for its log entry to be committed.
+struct pending_request {
+  std::string host;
+  uint64_t request_id = 0;
+  uint64_t term = 0;
+};
+
+struct replica_group {
+  raft_group raft;
+  std::variant<claim_table, config_log> machine;
+  // Index of the last command applied to `machine`.
+  uint64_t applied_index = 0;
+  std::map<uint64_t, pending_request> pending;
+  raft_role noted_role = raft_role::follower;
+};
+
+// An entry host that reads the configuration.
+struct config_reader {
+  uint64_t have_version = 0;
+  unix_ms expires_ms = 0;
+};
+
+struct replica_state {
+  std::string host;
+  uint64_t identity = 0;
+  replica_options options;
+  // Hosts of the other replicas.
+  std::vector<std::string> peers;
+  std::map<std::string, replica_group, std::less<>> groups;
+  std::map<uint64_t, std::string> host_of_identity;
+  std::map<std::string, config_reader> config_readers;
+  unix_ms hello_at_ms = 0;
+  bool draining = false;
+  unix_ms drain_until_ms = 0;
+  int64_t last_sync_us = 0;
+  // Commands committed since the start, for measurements.
+  uint64_t committed_commands = 0;
+};
+
+replica_state make_replica(const settings& all,
+                           std::string_view host,
+                           uint64_t identity,
+                           uint64_t seed,
+                           unix_ms now);
+
+// Feeds one write of the log, in order, before `replica_started`.
+void replay_write(replica_state& state, const wire::wal_write& write);
+
+replica_effects reduce(replica_state& state, const replica_event& event);
+
+// The whole state as writes, for a new write-ahead log.
+std::vector<wire::wal_write> dump_writes(const replica_state& state);
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_REPLICA_H_
