--- /dev/null
+++ b/cyclamenwood/replica.cc
@@ -0,0 +1,575 @@
+// Each event runs through the groups it concerns; `absorb` then turns what
+// the consensus reducer returned into effects and applies what it committed.
+// Consensus messages of all groups that one event produces travel in one
+// envelope a host, so that idle heartbeats cost one message a pair of hosts.
+#include "cyclamenwood/replica.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+namespace cyclamenwood {
+namespace {
+
+constexpr int64_t HELLO_INTERVAL_MS = 1000;
+constexpr int64_t CONFIG_READER_TIMEOUT_MS = 10'000;
+constexpr int64_t HANDOVER_LIMIT_MS = 3000;
+constexpr int64_t HANDOVER_LINGER_MS = 300;
+
+// The envelopes of one reduction.
+struct outbox {
+  replica_effects effects;
+  std::map<std::string, wire::raft_batch> raft;
+};
+
+void send(outbox& out, const std::string& host, wire::envelope envelope) {
+  out.effects.push_back(replica_send{host, std::move(envelope)});
+}
+
+void note(outbox& out,
+          std::string name,
+          const std::string& group,
+          std::string detail) {
+  out.effects.push_back(
+      replica_note{std::move(name), group, std::move(detail)});
+}
+
+void restore(replica_group& group, const wire::snapshot& snapshot) {
+  if (std::holds_alternative<claim_table>(group.machine))
+    group.machine = load_claims(snapshot.data());
+  else
+    group.machine = load_config(snapshot.data());
+  group.applied_index = snapshot.index();
+}
+
+std::string save(const replica_group& group) {
+  if (const auto* claims = std::get_if<claim_table>(&group.machine))
+    return save_claims(*claims);
+  return save_config(std::get<config_log>(group.machine));
+}
+
+wire::claim_reply make_claim_reply(const replica_state& state,
+                                   uint64_t request_id,
+                                   const claim_outcome& outcome) {
+  wire::claim_reply reply;
+  reply.set_request_id(request_id);
+  reply.set_result(outcome.result);
+  reply.set_owner_host(outcome.owner.host);
+  reply.set_owner_incarnation(outcome.owner.incarnation);
+  reply.set_sync_us(state.last_sync_us);
+  return reply;
+}
+
+void send_claim_reply(outbox& out,
+                      const std::string& host,
+                      wire::claim_reply reply) {
+  wire::envelope envelope;
+  *envelope.mutable_claim_reply() = std::move(reply);
+  send(out, host, std::move(envelope));
+}
+
+void send_roll_out_reply(outbox& out,
+                         const std::string& host,
+                         uint64_t request_id,
+                         const roll_out_outcome& outcome,
+                         const std::string& leader_host) {
+  wire::envelope envelope;
+  wire::roll_out_reply& reply = *envelope.mutable_roll_out_reply();
+  reply.set_request_id(request_id);
+  reply.set_result(outcome.result);
+  *reply.mutable_winner() = outcome.winner;
+  reply.set_detail(outcome.detail);
+  reply.set_leader_host(leader_host);
+  send(out, host, std::move(envelope));
+}
+
+// Newest version in the log, committed or not. A logged roll-out may turn out
+// refused; then the applied version stays and the reader asks again.
+uint64_t logged_version(const replica_group& group) {
+  uint64_t newest = newest_version(std::get<config_log>(group.machine));
+  for (auto entry = group.raft.log.rbegin(); entry != group.raft.log.rend();
+       ++entry) {
+    if (entry->index() <= group.applied_index)
+      break;
+    newest = std::max(newest, entry->command().roll_out().version());
+  }
+  return newest;
+}
+
+void send_config_state(const replica_state& state,
+                       const replica_group& group,
+                       const std::string& host,
+                       uint64_t have_version,
+                       outbox& out) {
+  const auto& log = std::get<config_log>(group.machine);
+  wire::envelope envelope;
+  wire::config_state& config = *envelope.mutable_config_state();
+  config.set_identity(state.identity);
+  config.set_applied_version(newest_version(log));
+  config.set_logged_version(logged_version(group));
+  config.set_members_index(group.raft.members_index);
+  *config.mutable_members() = group.raft.members;
+  config.set_leader_host(raft_leader_host(group.raft));
+  if (newest_version(log) > have_version)
+    *config.add_versions() = log.versions.back();
+  send(out, host, std::move(envelope));
+}
+
+void push_config(replica_state& state,
+                 const replica_group& group,
+                 outbox& out) {
+  uint64_t newest = newest_version(std::get<config_log>(group.machine));
+  for (auto& [host, reader] : state.config_readers) {
+    if (reader.have_version >= newest)
+      continue;
+    send_config_state(state, group, host, reader.have_version, out);
+    reader.have_version = newest;
+  }
+}
+
+void apply_claim_entry(replica_state& state,
+                       replica_group& group,
+                       const wire::log_entry& entry,
+                       const pending_request* request,
+                       outbox& out) {
+  const wire::command& command = entry.command();
+  claim_outcome outcome =
+      apply_claim(std::get<claim_table>(group.machine), command.claim(),
+                  command.stamp_ms(), command.max_records());
+  if (request != nullptr)
+    send_claim_reply(out, request->host,
+                     make_claim_reply(state, request->request_id, outcome));
+}
+
+void apply_roll_out_entry(replica_group& group,
+                          const wire::log_entry& entry,
+                          const pending_request* request,
+                          outbox& out) {
+  auto& log = std::get<config_log>(group.machine);
+  roll_out_outcome outcome = apply_roll_out(log, entry.command().roll_out());
+  if (request != nullptr)
+    send_roll_out_reply(out, request->host, request->request_id, outcome, "");
+  if (outcome.result == wire::ROLL_OUT_ACCEPTED)
+    note(out, "bundle_accepted", group.raft.name,
+         fmt::format("version={}", newest_version(log)));
+}
+
+void apply_entry(replica_state& state,
+                 replica_group& group,
+                 const wire::log_entry& entry,
+                 outbox& out) {
+  if (entry.index() <= group.applied_index)
+    return;
+  group.applied_index = entry.index();
+  ++state.committed_commands;
+  auto waiting = group.pending.find(entry.index());
+  const pending_request* request = nullptr;
+  if (waiting != group.pending.end() && waiting->second.term == entry.term())
+    request = &waiting->second;
+  const wire::command& command = entry.command();
+  if (command.has_claim())
+    apply_claim_entry(state, group, entry, request, out);
+  else if (command.has_roll_out())
+    apply_roll_out_entry(group, entry, request, out);
+  else if (command.has_members())
+    note(out, "membership_committed", group.raft.name,
+         fmt::format("voters={}", command.members().voters_size()));
+  group.pending.erase(group.pending.begin(),
+                      group.pending.upper_bound(entry.index()));
+}
+
+void note_role(replica_group& group, outbox& out) {
+  if (group.raft.role == group.noted_role)
+    return;
+  if (group.raft.role == raft_role::leader)
+    note(out, "leader_elected", group.raft.name,
+         fmt::format("term={}", group.raft.term));
+  else if (group.noted_role == raft_role::leader)
+    note(out, "leader_stepped_down", group.raft.name,
+         fmt::format("term={}", group.raft.term));
+  if (group.raft.role != raft_role::leader)
+    group.pending.clear();
+  group.noted_role = group.raft.role;
+}
+
+void route_message(replica_state& state,
+                   wire::raft_message message,
+                   outbox& out) {
+  auto found = state.host_of_identity.find(message.to());
+  if (found == state.host_of_identity.end())
+    return;
+  *out.raft[found->second].add_messages() = std::move(message);
+}
+
+void learn_hosts(replica_state& state, const replica_group& group) {
+  for (const wire::member& voter : group.raft.members.voters())
+    state.host_of_identity[voter.identity()] = voter.host();
+}
+
+size_t machine_records(const replica_group& group) {
+  const auto* claims = std::get_if<claim_table>(&group.machine);
+  return claims == nullptr ? 0 : claims->records.size();
+}
+
+// Snapshots when the log has grown past its bound. The bound follows the
+// table's size, so that the cost of a snapshot stays in proportion to the
+// commands since the last one.
+void compact(replica_state& state, replica_group& group, raft_output& out) {
+  size_t bound = std::max<size_t>(state.options.snapshot_min_entries,
+                                  machine_records(group) / 2);
+  if (group.raft.log.size() <= bound ||
+      group.applied_index <= group.raft.snapshot.index())
+    return;
+  raft_compact(group.raft, group.applied_index, save(group), out);
+}
+
+void absorb(replica_state& state,
+            replica_group& group,
+            raft_output result,
+            outbox& out) {
+  if (result.restored) {
+    restore(group, *result.restored);
+    note(out, "snapshot_installed", group.raft.name,
+         fmt::format("index={}", group.applied_index));
+  }
+  for (const wire::log_entry& entry : result.committed)
+    apply_entry(state, group, entry, out);
+  if (!result.committed.empty())
+    compact(state, group, result);
+  learn_hosts(state, group);
+  for (wire::wal_write& write : result.writes)
+    out.effects.push_back(replica_persist{std::move(write)});
+  for (wire::raft_message& message : result.messages)
+    route_message(state, std::move(message), out);
+  bool changed = !result.committed.empty() || result.restored.has_value();
+  if (changed && std::holds_alternative<config_log>(group.machine))
+    push_config(state, group, out);
+  note_role(group, out);
+}
+
+replica_effects finish(outbox out) {
+  for (auto& [host, batch] : out.raft) {
+    wire::envelope envelope;
+    *envelope.mutable_raft() = std::move(batch);
+    send(out, host, std::move(envelope));
+  }
+  return std::move(out.effects);
+}
+
+// ---- Messages -------------------------------------------------------------
+
+void receive_raft(replica_state& state,
+                  unix_ms now,
+                  const wire::envelope& envelope,
+                  outbox& out) {
+  for (const wire::raft_message& message : envelope.raft().messages()) {
+    auto found = state.groups.find(message.group());
+    if (found == state.groups.end())
+      continue;
+    state.host_of_identity[message.from()] = envelope.from();
+    raft_output result;
+    raft_receive(found->second.raft, message, now, result);
+    absorb(state, found->second, std::move(result), out);
+  }
+}
+
+void receive_hello(replica_state& state, const wire::envelope& envelope) {
+  uint64_t identity = envelope.replica_hello().identity();
+  state.host_of_identity[identity] = envelope.from();
+  for (auto& [name, group] : state.groups)
+    raft_announce(group.raft, envelope.from(), identity);
+}
+
+// A claim on the same key that is logged but not applied yet: a lookup must
+// not call the key free.
+claim_outcome find_unapplied_claim(const replica_group& group,
+                                   const wire::claim& wanted) {
+  claim_outcome outcome;
+  outcome.result = wire::CLAIM_ABSENT;
+  for (auto entry = group.raft.log.rbegin(); entry != group.raft.log.rend();
+       ++entry) {
+    if (entry->index() <= group.applied_index)
+      break;
+    const wire::claim& claim = entry->command().claim();
+    if (claim.tenant() != wanted.tenant() || claim.key() != wanted.key())
+      continue;
+    outcome.result = wire::CLAIM_OWNED;
+    outcome.owner = {claim.owner_host(), claim.owner_incarnation()};
+  }
+  return outcome;
+}
+
+void receive_claim(replica_state& state,
+                   unix_ms now,
+                   const wire::envelope& envelope,
+                   outbox& out) {
+  const wire::claim_request& request = envelope.claim_request();
+  claim_outcome outcome;
+  outcome.result = wire::CLAIM_NOT_LEADER;
+  auto found = state.groups.find(request.group());
+  replica_group* group = found == state.groups.end() ? nullptr : &found->second;
+  if (group == nullptr ||
+      !std::holds_alternative<claim_table>(group->machine) ||
+      !raft_leader_ready(group->raft)) {
+    wire::claim_reply reply =
+        make_claim_reply(state, request.request_id(), outcome);
+    if (group != nullptr && group->raft.role != raft_role::leader)
+      reply.set_leader_host(raft_leader_host(group->raft));
+    send_claim_reply(out, envelope.from(), std::move(reply));
+    return;
+  }
+  // A record that is already committed needs no log entry.
+  outcome = find_claim(std::get<claim_table>(group->machine), request.claim());
+  if (request.lookup() && outcome.result == wire::CLAIM_ABSENT)
+    outcome = find_unapplied_claim(*group, request.claim());
+  if (request.lookup() || outcome.result != wire::CLAIM_ABSENT) {
+    send_claim_reply(out, envelope.from(),
+                     make_claim_reply(state, request.request_id(), outcome));
+    return;
+  }
+  wire::command command;
+  command.set_stamp_ms(now);
+  command.set_max_records(state.options.max_claim_records);
+  *command.mutable_claim() = request.claim();
+  raft_output result;
+  std::optional<uint64_t> index =
+      raft_propose(group->raft, std::move(command), now, result);
+  if (index)
+    group->pending[*index] = {envelope.from(), request.request_id(),
+                              group->raft.term};
+  else {
+    send_claim_reply(
+        out, envelope.from(),
+        make_claim_reply(state, request.request_id(),
+                         claim_outcome{wire::CLAIM_NOT_LEADER, {}}));
+  }
+  absorb(state, *group, std::move(result), out);
+}
+
+replica_group* config_group(replica_state& state) {
+  auto found = state.groups.find(CONFIG_GROUP);
+  return found == state.groups.end() ? nullptr : &found->second;
+}
+
+void receive_roll_out(replica_state& state,
+                      unix_ms now,
+                      const wire::envelope& envelope,
+                      outbox& out) {
+  const wire::roll_out_request& request = envelope.roll_out_request();
+  replica_group* group = config_group(state);
+  roll_out_outcome refusal;
+  refusal.result = wire::ROLL_OUT_NOT_LEADER;
+  if (group == nullptr || !raft_leader_ready(group->raft)) {
+    std::string hint;
+    if (group != nullptr && group->raft.role != raft_role::leader)
+      hint = raft_leader_host(group->raft);
+    send_roll_out_reply(out, envelope.from(), request.request_id(), refusal,
+                        hint);
+    return;
+  }
+  result<wire::roll_out> checked = make_roll_out(request.roll_out().content());
+  if (!ok(checked)) {
+    refusal.result = wire::ROLL_OUT_REFUSED;
+    refusal.detail = failure(checked).argument;
+    send_roll_out_reply(out, envelope.from(), request.request_id(), refusal,
+                        "");
+    return;
+  }
+  wire::command command;
+  command.set_stamp_ms(now);
+  *command.mutable_roll_out() = value(checked);
+  raft_output result;
+  std::optional<uint64_t> index =
+      raft_propose(group->raft, std::move(command), now, result);
+  if (index)
+    group->pending[*index] = {envelope.from(), request.request_id(),
+                              group->raft.term};
+  else
+    send_roll_out_reply(out, envelope.from(), request.request_id(), refusal,
+                        "");
+  absorb(state, *group, std::move(result), out);
+}
+
+void receive_config_read(replica_state& state,
+                         unix_ms now,
+                         const wire::envelope& envelope,
+                         outbox& out) {
+  replica_group* group = config_group(state);
+  if (group == nullptr)
+    return;
+  uint64_t have = envelope.config_read().have_version();
+  send_config_state(state, *group, envelope.from(), have, out);
+  uint64_t newest = newest_version(std::get<config_log>(group->machine));
+  state.config_readers[envelope.from()] = {std::max(have, newest),
+                                           now + CONFIG_READER_TIMEOUT_MS};
+}
+
+// ---- Events ---------------------------------------------------------------
+
+void on_event(replica_state& state, const replica_started& event, outbox& out) {
+  for (auto& [name, group] : state.groups) {
+    bool is_new = group.raft.term == 0 && raft_last_index(group.raft) == 0;
+    raft_replay_done(group.raft, event.now);
+    if (group.raft.snapshot.index() > 0)
+      restore(group, group.raft.snapshot);
+    raft_output result;
+    if (is_new)
+      raft_write_initial_members(group.raft, result);
+    absorb(state, group, std::move(result), out);
+  }
+  state.hello_at_ms = event.now;
+}
+
+// A replica that some group does not count as a member makes itself known.
+void say_hello(replica_state& state, unix_ms now, outbox& out) {
+  if (now < state.hello_at_ms)
+    return;
+  state.hello_at_ms = now + HELLO_INTERVAL_MS;
+  bool member = true;
+  for (const auto& [name, group] : state.groups)
+    member = member && raft_is_voter(group.raft, state.identity);
+  if (member)
+    return;
+  for (const std::string& peer : state.peers) {
+    wire::envelope envelope;
+    envelope.mutable_replica_hello()->set_identity(state.identity);
+    send(out, peer, std::move(envelope));
+  }
+}
+
+void check_drained(replica_state& state, unix_ms now, outbox& out) {
+  if (!state.draining)
+    return;
+  bool leads = false;
+  for (const auto& [name, group] : state.groups)
+    leads = leads || group.raft.role == raft_role::leader;
+  // Followers linger for a moment, so that the new leader hears from them.
+  bool early =
+      now < state.drain_until_ms - HANDOVER_LIMIT_MS + HANDOVER_LINGER_MS;
+  if ((!leads && !early) || now >= state.drain_until_ms)
+    out.effects.push_back(replica_drained{});
+}
+
+void on_event(replica_state& state, const replica_tick& event, outbox& out) {
+  for (auto& [name, group] : state.groups) {
+    raft_output result;
+    raft_tick(group.raft, event.now, result);
+    bool idle_leader = state.draining && group.raft.role == raft_role::leader &&
+                       group.raft.handover_target == 0;
+    if (idle_leader)
+      raft_hand_over(group.raft, event.now, result);
+    absorb(state, group, std::move(result), out);
+  }
+  say_hello(state, event.now, out);
+  std::erase_if(state.config_readers, [&event](const auto& reader) {
+    return event.now >= reader.second.expires_ms;
+  });
+  check_drained(state, event.now, out);
+}
+
+void on_event(replica_state& state,
+              const replica_received& event,
+              outbox& out) {
+  const wire::envelope& envelope = event.envelope;
+  switch (envelope.body_case()) {
+    case wire::envelope::kRaft:
+      receive_raft(state, event.now, envelope, out);
+      break;
+    case wire::envelope::kReplicaHello:
+      receive_hello(state, envelope);
+      break;
+    case wire::envelope::kClaimRequest:
+      receive_claim(state, event.now, envelope, out);
+      break;
+    case wire::envelope::kRollOutRequest:
+      receive_roll_out(state, event.now, envelope, out);
+      break;
+    case wire::envelope::kConfigRead:
+      receive_config_read(state, event.now, envelope, out);
+      break;
+    default:
+      break;
+  }
+}
+
+void on_event(replica_state& state, const replica_synced& event, outbox& out) {
+  state.last_sync_us = event.sync_us;
+  for (auto& [name, group] : state.groups) {
+    if (!group.raft.unsynced_writes)
+      continue;
+    raft_output result;
+    raft_synced(group.raft, event.now, result);
+    absorb(state, group, std::move(result), out);
+  }
+}
+
+void on_event(replica_state& state, const replica_drain& event, outbox& out) {
+  state.draining = true;
+  state.drain_until_ms = event.now + HANDOVER_LIMIT_MS;
+  on_event(state, replica_tick{event.now}, out);
+}
+
+}  // namespace
+
+replica_state make_replica(const settings& all,
+                           std::string_view host,
+                           uint64_t identity,
+                           uint64_t seed,
+                           unix_ms now) {
+  replica_state state;
+  state.host = host;
+  state.identity = identity;
+  state.options = all.replica;
+  wire::member self;
+  self.set_host(state.host);
+  self.set_identity(identity);
+  std::set<std::string> peers;
+  for (const auto& [name, replicas] : all_groups(all)) {
+    bool mine =
+        std::find(replicas.begin(), replicas.end(), host) != replicas.end();
+    if (!mine)
+      continue;
+    wire::membership voters;
+    for (const std::string& replica : replicas) {
+      wire::member& voter = *voters.add_voters();
+      voter.set_host(replica);
+      voter.set_identity(find_replica(all, replica)->identity);
+      if (replica != host)
+        peers.insert(replica);
+    }
+    replica_group& group = state.groups[name];
+    group.raft = make_raft_group(name, self, voters, all.raft,
+                                 seed ^ stable_hash(name), now);
+    if (name == CONFIG_GROUP)
+      group.machine = config_log();
+  }
+  state.peers.assign(peers.begin(), peers.end());
+  return state;
+}
+
+void replay_write(replica_state& state, const wire::wal_write& write) {
+  auto found = state.groups.find(write.group());
+  if (found != state.groups.end())
+    raft_replay(found->second.raft, write);
+}
+
+replica_effects reduce(replica_state& state, const replica_event& event) {
+  outbox out;
+  std::visit([&](const auto& kind) { on_event(state, kind, out); }, event);
+  replica_effects effects = finish(std::move(out));
+  for (replica_effect& effect : effects) {
+    if (auto* sent = std::get_if<replica_send>(&effect))
+      sent->envelope.set_from(state.host);
+  }
+  return effects;
+}
+
+std::vector<wire::wal_write> dump_writes(const replica_state& state) {
+  std::vector<wire::wal_write> writes;
+  for (const auto& [name, group] : state.groups)
+    writes.push_back(raft_dump(group.raft));
+  return writes;
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/util/program.cc
@@ -0,0 +1,33 @@
+// One place decides which failure has which exit code.
+#include "cyclamenwood/util/program.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+
+namespace cyclamenwood {
+
+int exit_code_of(const error& failed) {
+  switch (failed.code) {
+    case error_code::usage:
+    case error_code::settings_invalid:
+      return EXIT_CODE_USAGE;
+    case error_code::connection_failed:
+      return EXIT_CODE_UNREACHABLE;
+    case error_code::listen_failed:
+    case error_code::write_failed:
+    case error_code::log_corrupt:
+    case error_code::folder_not_formatted:
+    case error_code::folder_already_formatted:
+      return EXIT_CODE_SYSTEM;
+    default:
+      return EXIT_CODE_FAILED;
+  }
+}
+
+int report(std::string_view program, const error& failed) {
+  fmt::print(stderr, "{}: {}\n", program, to_string(failed));
+  return exit_code_of(failed);
+}
+
+}  // namespace cyclamenwood
