--- /dev/null
+++ b/cyclamenwood/curl_loop.cc
@@ -0,0 +1,108 @@
+// libcurl tells which sockets to watch and when to call again; both map to
+// libev watchers.
+#include "cyclamenwood/curl_loop.h"
+
+#include <utility>
+
+namespace cyclamenwood {
+namespace {
+
+constexpr double MS = 1000.0;
+
+}  // namespace
+
+curl_loop::curl_loop(event_loop& loop,
+                     int64_t max_connections_per_host,
+                     done_handler done)
+    : loop_(loop), done_(std::move(done)), multi_(curl_multi_init()) {
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &on_socket);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &on_timer_change);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(max_connections_per_host));
+  curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  ev_timer_init(&timer_, on_timer, 0, 0);
+  timer_.data = this;
+}
+
+curl_loop::~curl_loop() {
+  curl_multi_cleanup(multi_);
+  ev_timer_stop(loop_.raw(), &timer_);
+}
+
+void curl_loop::add(CURL* easy) {
+  curl_multi_add_handle(multi_, easy);
+}
+
+void curl_loop::remove(CURL* easy) {
+  curl_multi_remove_handle(multi_, easy);
+}
+
+int curl_loop::on_socket(CURL* /*easy*/,
+                         curl_socket_t socket,
+                         int what,
+                         void* self,
+                         void* watcher) {
+  auto* owner = static_cast<curl_loop*>(self);
+  auto* known = static_cast<socket_watcher*>(watcher);
+  if (known != nullptr)
+    ev_io_stop(owner->loop_.raw(), &known->io);
+  if (what == CURL_POLL_REMOVE) {
+    delete known;
+    curl_multi_assign(owner->multi_, socket, nullptr);
+    return 0;
+  }
+  if (known == nullptr) {
+    known = new socket_watcher;
+    known->owner = owner;
+    curl_multi_assign(owner->multi_, socket, known);
+  }
+  int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
+               ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+  ev_io_init(&known->io, &on_ready, socket, events);
+  known->io.data = known;
+  ev_io_start(owner->loop_.raw(), &known->io);
+  return 0;
+}
+
+void curl_loop::on_ready(struct ev_loop* /*loop*/, ev_io* io, int events) {
+  auto* watcher = static_cast<socket_watcher*>(io->data);
+  int action = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
+               ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+  watcher->owner->drive(io->fd, action);
+}
+
+int curl_loop::on_timer_change(CURLM* /*multi*/, long timeout_ms, void* self) {
+  auto* owner = static_cast<curl_loop*>(self);
+  ev_timer_stop(owner->loop_.raw(), &owner->timer_);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set(&owner->timer_, static_cast<double>(timeout_ms) / MS, 0);
+  ev_timer_start(owner->loop_.raw(), &owner->timer_);
+  return 0;
+}
+
+void curl_loop::on_timer(struct ev_loop* /*loop*/,
+                         ev_timer* timer,
+                         int /*events*/) {
+  static_cast<curl_loop*>(timer->data)->drive(CURL_SOCKET_TIMEOUT, 0);
+}
+
+// The handler may add and remove transfers, so each ended one is taken out
+// before it is called.
+void curl_loop::drive(curl_socket_t socket, int action) {
+  int running = 0;
+  curl_multi_socket_action(multi_, socket, action, &running);
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+    if (message->msg != CURLMSG_DONE)
+      continue;
+    CURL* easy = message->easy_handle;
+    CURLcode code = message->data.result;
+    curl_multi_remove_handle(multi_, easy);
+    done_(easy, code);
+  }
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/http_server.cc
@@ -0,0 +1,274 @@
+// libmicrohttpd is driven through its epoll descriptor. A request that is not
+// answered at once suspends its connection; `respond` stores the answer and
+// resumes it, and the next run of the daemon asks the access handler again,
+// which then queues the stored answer.
+#include "cyclamenwood/http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+
+#include <charconv>
+#include <map>
+#include <utility>
+
+namespace cyclamenwood {
+namespace {
+
+constexpr int64_t HOUSEKEEPING_INTERVAL_MS = 250;
+
+// One request on its way.
+struct exchange_state {
+  uint64_t id = 0;
+  MHD_Connection* connection = nullptr;
+  http_request request;
+  bool too_large = false;
+  bool handled = false;
+  bool suspended = false;
+  std::optional<api_answer> answer;
+};
+
+result<sockaddr_in> parse_address(const std::string& address) {
+  size_t colon = address.rfind(':');
+  sockaddr_in parsed{};
+  parsed.sin_family = AF_INET;
+  std::string ip = address.substr(0, colon);
+  int port = 0;
+  std::from_chars(address.data() + colon + 1, address.data() + address.size(),
+                  port);
+  parsed.sin_port = htons(port);
+  if (inet_pton(AF_INET, ip.c_str(), &parsed.sin_addr) != 1)
+    return error{error_code::listen_failed, address};
+  return parsed;
+}
+
+}  // namespace
+
+struct http_server::implementation {
+  event_loop& loop;
+  http_settings limits;
+  handler handle;
+  gone_handler gone;
+  MHD_Daemon* daemon = nullptr;
+  ev_io readiness{};
+  std::unique_ptr<periodic_timer> housekeeping;
+  std::map<uint64_t, exchange_state*> exchanges;
+  uint64_t next_exchange = 1;
+  bool closing = false;
+  bool running = false;
+  bool run_again = false;
+
+  implementation(event_loop& loop,
+                 const http_settings& limits,
+                 handler handle,
+                 gone_handler gone)
+      : loop(loop),
+        limits(limits),
+        handle(std::move(handle)),
+        gone(std::move(gone)) {}
+
+  // Answers given from inside a run resume connections, which need another
+  // run.
+  void run() {
+    if (running) {
+      run_again = true;
+      return;
+    }
+    running = true;
+    do {
+      run_again = false;
+      MHD_run(daemon);
+    } while (run_again);
+    running = false;
+  }
+
+  MHD_Result queue(exchange_state& exchange) {
+    const api_answer& answer = *exchange.answer;
+    MHD_Response* response = MHD_create_response_from_buffer(
+        answer.body.size(), const_cast<char*>(answer.body.data()),
+        MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, "Content-Type", "application/json");
+    if (closing)
+      MHD_add_response_header(response, "Connection", "close");
+    MHD_Result queued =
+        MHD_queue_response(exchange.connection, answer.status, response);
+    MHD_destroy_response(response);
+    return queued;
+  }
+
+  api_answer too_large_answer() const {
+    return failure_answer(error{error_code::request_too_large, "body"},
+                          execution::not_run, 0);
+  }
+
+  bool announces_too_much(MHD_Connection* connection) const {
+    const char* length = MHD_lookup_connection_value(
+        connection, MHD_HEADER_KIND, "Content-Length");
+    if (length == nullptr)
+      return false;
+    std::string_view text(length);
+    int64_t bytes = 0;
+    std::from_chars(text.data(), text.data() + text.size(), bytes);
+    return bytes > limits.max_body_bytes;
+  }
+
+  MHD_Result begin(MHD_Connection* connection,
+                   const char* url,
+                   const char* method,
+                   void** context) {
+    auto* exchange = new exchange_state;
+    exchange->id = next_exchange++;
+    exchange->connection = connection;
+    exchange->request.exchange = exchange->id;
+    exchange->request.method = method;
+    exchange->request.path = url;
+    exchanges[exchange->id] = exchange;
+    *context = exchange;
+    if (!announces_too_much(connection))
+      return MHD_YES;
+    exchange->handled = true;
+    exchange->answer = too_large_answer();
+    return queue(*exchange);
+  }
+
+  MHD_Result receive(exchange_state& exchange, const char* data, size_t* size) {
+    size_t wanted = exchange.request.body.size() + *size;
+    if (wanted > static_cast<size_t>(limits.max_body_bytes)) {
+      exchange.too_large = true;
+      exchange.request.body.clear();
+    }
+    if (!exchange.too_large)
+      exchange.request.body.append(data, *size);
+    *size = 0;
+    return MHD_YES;
+  }
+
+  MHD_Result complete(exchange_state& exchange) {
+    if (!exchange.handled) {
+      exchange.handled = true;
+      if (exchange.too_large)
+        exchange.answer = too_large_answer();
+      else
+        handle(std::move(exchange.request));
+    }
+    if (exchange.answer)
+      return queue(exchange);
+    exchange.suspended = true;
+    MHD_suspend_connection(exchange.connection);
+    return MHD_YES;
+  }
+
+  static MHD_Result on_access(void* self,
+                              MHD_Connection* connection,
+                              const char* url,
+                              const char* method,
+                              const char* /*version*/,
+                              const char* data,
+                              size_t* size,
+                              void** context) {
+    auto* server = static_cast<implementation*>(self);
+    if (*context == nullptr)
+      return server->begin(connection, url, method, context);
+    auto& exchange = *static_cast<exchange_state*>(*context);
+    if (*size > 0)
+      return server->receive(exchange, data, size);
+    return server->complete(exchange);
+  }
+
+  static void on_completed(void* self,
+                           MHD_Connection* /*connection*/,
+                           void** context,
+                           MHD_RequestTerminationCode /*code*/) {
+    auto* server = static_cast<implementation*>(self);
+    auto* exchange = static_cast<exchange_state*>(*context);
+    if (exchange == nullptr)
+      return;
+    uint64_t id = exchange->id;
+    bool unanswered = exchange->handled && !exchange->answer;
+    server->exchanges.erase(id);
+    delete exchange;
+    *context = nullptr;
+    if (unanswered)
+      server->gone(id);
+  }
+
+  static void on_ready(struct ev_loop* /*loop*/,
+                       ev_io* watcher,
+                       int /*events*/) {
+    static_cast<implementation*>(watcher->data)->run();
+  }
+};
+
+http_server::http_server(event_loop& loop,
+                         const http_settings& limits,
+                         handler handle,
+                         gone_handler gone)
+    : implementation_(std::make_unique<implementation>(loop,
+                                                       limits,
+                                                       std::move(handle),
+                                                       std::move(gone))) {}
+
+http_server::~http_server() {
+  implementation& self = *implementation_;
+  if (self.daemon == nullptr)
+    return;
+  ev_io_stop(self.loop.raw(), &self.readiness);
+  for (auto& [id, exchange] : self.exchanges) {
+    if (exchange->suspended)
+      MHD_resume_connection(exchange->connection);
+  }
+  MHD_stop_daemon(self.daemon);
+}
+
+result<done> http_server::listen(const std::string& address) {
+  implementation& self = *implementation_;
+  result<sockaddr_in> socket_address = parse_address(address);
+  if (!ok(socket_address))
+    return failure(socket_address);
+  const http_settings& limits = self.limits;
+  self.daemon = MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, nullptr,
+      nullptr, &implementation::on_access, &self, MHD_OPTION_SOCK_ADDR,
+      &value(socket_address), MHD_OPTION_NOTIFY_COMPLETED,
+      &implementation::on_completed, &self, MHD_OPTION_CONNECTION_LIMIT,
+      static_cast<unsigned int>(limits.max_connections),
+      MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+      static_cast<unsigned int>(limits.max_connections_per_ip),
+      MHD_OPTION_CONNECTION_TIMEOUT,
+      static_cast<unsigned int>(limits.idle_timeout_s),
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (self.daemon == nullptr)
+    return error{error_code::listen_failed, address};
+  const MHD_DaemonInfo* info =
+      MHD_get_daemon_info(self.daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  ev_io_init(&self.readiness, &implementation::on_ready, info->epoll_fd,
+             EV_READ);
+  self.readiness.data = &self;
+  ev_io_start(self.loop.raw(), &self.readiness);
+  self.housekeeping = std::make_unique<periodic_timer>(
+      self.loop, HOUSEKEEPING_INTERVAL_MS, [&self] { self.run(); });
+  return done{};
+}
+
+void http_server::respond(uint64_t exchange, const api_answer& answer) {
+  implementation& self = *implementation_;
+  auto found = self.exchanges.find(exchange);
+  if (found == self.exchanges.end() || found->second->answer)
+    return;
+  found->second->answer = answer;
+  if (!found->second->suspended)
+    return;
+  found->second->suspended = false;
+  MHD_resume_connection(found->second->connection);
+  self.run();
+}
+
+void http_server::close_after_answers() {
+  implementation_->closing = true;
+}
+
+size_t http_server::open_exchanges() const {
+  return implementation_->exchanges.size();
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/loop.cc
@@ -0,0 +1,134 @@
+// Thin wrappers over libev. Posted tasks are swapped out under the lock and
+// run without it, so that a task may post again.
+#include "cyclamenwood/loop.h"
+
+#include <chrono>
+#include <utility>
+
+namespace cyclamenwood {
+namespace {
+
+constexpr double MS = 1000.0;
+
+int64_t monotonic_ms() {
+  auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+int64_t wall_ms() {
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+}  // namespace
+
+unix_ms current_time() {
+  static const int64_t offset = wall_ms() - monotonic_ms();
+  return offset + monotonic_ms();
+}
+
+int64_t monotonic_us() {
+  auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+event_loop::event_loop() : loop_(ev_loop_new(EVFLAG_AUTO)) {
+  ev_async_init(&async_, on_async);
+  async_.data = this;
+  ev_async_start(loop_, &async_);
+}
+
+event_loop::~event_loop() {
+  ev_async_stop(loop_, &async_);
+  ev_loop_destroy(loop_);
+}
+
+void event_loop::run() {
+  ev_run(loop_, 0);
+}
+
+void event_loop::stop() {
+  ev_break(loop_, EVBREAK_ALL);
+}
+
+void event_loop::post(std::function<void()> task) {
+  bool first = false;
+  {
+    std::lock_guard lock(mutex_);
+    first = posted_.empty();
+    posted_.push_back(std::move(task));
+  }
+  if (first)
+    ev_async_send(loop_, &async_);
+}
+
+void event_loop::set_after_batch(std::function<void()> callback) {
+  after_batch_ = std::move(callback);
+}
+
+void event_loop::on_async(struct ev_loop* /*loop*/,
+                          ev_async* watcher,
+                          int /*events*/) {
+  static_cast<event_loop*>(watcher->data)->run_posted();
+}
+
+void event_loop::run_posted() {
+  std::vector<std::function<void()>> batch;
+  {
+    std::lock_guard lock(mutex_);
+    batch.swap(posted_);
+  }
+  for (const std::function<void()>& task : batch)
+    task();
+  if (after_batch_)
+    after_batch_();
+}
+
+periodic_timer::periodic_timer(event_loop& loop,
+                               int64_t interval_ms,
+                               std::function<void()> callback)
+    : loop_(loop), interval_ms_(interval_ms), callback_(std::move(callback)) {
+  double seconds = static_cast<double>(interval_ms) / MS;
+  ev_timer_init(&timer_, on_timer, seconds, seconds);
+  timer_.data = this;
+  ev_timer_start(loop_.raw(), &timer_);
+}
+
+periodic_timer::~periodic_timer() {
+  ev_timer_stop(loop_.raw(), &timer_);
+}
+
+void periodic_timer::set_interval(int64_t interval_ms) {
+  if (interval_ms == interval_ms_)
+    return;
+  interval_ms_ = interval_ms;
+  timer_.repeat = static_cast<double>(interval_ms) / MS;
+  ev_timer_again(loop_.raw(), &timer_);
+}
+
+void periodic_timer::on_timer(struct ev_loop* /*loop*/,
+                              ev_timer* watcher,
+                              int /*events*/) {
+  static_cast<periodic_timer*>(watcher->data)->callback_();
+}
+
+signal_watcher::signal_watcher(event_loop& loop,
+                               int signal,
+                               std::function<void()> callback)
+    : loop_(loop), callback_(std::move(callback)) {
+  ev_signal_init(&signal_, on_signal, signal);
+  signal_.data = this;
+  ev_signal_start(loop_.raw(), &signal_);
+}
+
+signal_watcher::~signal_watcher() {
+  ev_signal_stop(loop_.raw(), &signal_);
+}
+
+void signal_watcher::on_signal(struct ev_loop* /*loop*/,
+                               ev_signal* watcher,
+                               int /*events*/) {
+  static_cast<signal_watcher*>(watcher->data)->callback_();
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/loop.h
@@ -0,0 +1,98 @@
+// The event loop of a daemon: one thread that makes all decisions.
+//
+//   event_loop loop;
+//   periodic_timer tick(loop, 20, [&] { ... });
+//   loop.run();
+//
+// `post` is the only call that other threads may make.
+#ifndef CYCLAMENWOOD_LOOP_H_
+#define CYCLAMENWOOD_LOOP_H_
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "cyclamenwood/types.h"
+
+namespace cyclamenwood {
+
+// Wall-clock time at the start plus elapsed monotonic time, so that it never
+// goes back while a process runs.
+unix_ms current_time();
+
+// Microseconds of the monotonic clock, for measuring spans.
+int64_t monotonic_us();
+
+class event_loop {
+ public:
+  event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+  ~event_loop();
+
+  void run();
+  void stop();
+  struct ev_loop* raw() {
+    return loop_;
+  }
+
+  // Runs `task` on the loop's thread.
+  void post(std::function<void()> task);
+
+  // Called on the loop's thread after each batch of posted tasks.
+  void set_after_batch(std::function<void()> callback);
+
+ private:
+  static void on_async(struct ev_loop* loop, ev_async* watcher, int events);
+  void run_posted();
+
+  struct ev_loop* loop_;
+  ev_async async_{};
+  std::mutex mutex_;
+  std::vector<std::function<void()>> posted_;
+  std::function<void()> after_batch_;
+};
+
+// Calls back every interval until destroyed.
+class periodic_timer {
+ public:
+  periodic_timer(event_loop& loop,
+                 int64_t interval_ms,
+                 std::function<void()> callback);
+  periodic_timer(const periodic_timer&) = delete;
+  periodic_timer& operator=(const periodic_timer&) = delete;
+  ~periodic_timer();
+
+  void set_interval(int64_t interval_ms);
+
+ private:
+  static void on_timer(struct ev_loop* loop, ev_timer* watcher, int events);
+
+  event_loop& loop_;
+  ev_timer timer_{};
+  int64_t interval_ms_;
+  std::function<void()> callback_;
+};
+
+// Calls back on a signal.
+class signal_watcher {
+ public:
+  signal_watcher(event_loop& loop, int signal, std::function<void()> callback);
+  signal_watcher(const signal_watcher&) = delete;
+  signal_watcher& operator=(const signal_watcher&) = delete;
+  ~signal_watcher();
+
+ private:
+  static void on_signal(struct ev_loop* loop, ev_signal* watcher, int events);
+
+  event_loop& loop_;
+  ev_signal signal_{};
+  std::function<void()> callback_;
+};
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_LOOP_H_
--- /dev/null
+++ b/cyclamenwood/rpc.cc
@@ -0,0 +1,373 @@
+// gRPC's callback API runs reactions on its own threads; they only push to
+// the receiver and take the next queued envelope. A stream object lives until
+// its OnDone, which is the last call it gets; `closed` under its mutex says
+// whether it may still be written to.
+//
+// Keepalive pings end a stream whose peer is cut off silently, so that the
+// next send opens a new one instead of filling a dead connection's queue.
+#include "cyclamenwood/rpc.h"
+
+#include <fmt/format.h>
+#include <grpcpp/grpcpp.h>
+
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include "cyclamenwood/wire.grpc.pb.h"
+
+namespace cyclamenwood {
+namespace {
+
+constexpr int KEEPALIVE_TIME_MS = 2000;
+constexpr int KEEPALIVE_TIMEOUT_MS = 2000;
+constexpr int MIN_RECONNECT_BACKOFF_MS = 100;
+constexpr int MAX_RECONNECT_BACKOFF_MS = 500;
+constexpr int MAX_MESSAGE_BYTES = 256 << 20;
+constexpr size_t MAX_QUEUED_BYTES = size_t{64} << 20;
+constexpr auto REOPEN_DELAY = std::chrono::milliseconds(50);
+
+using steady_clock = std::chrono::steady_clock;
+
+// The envelopes that wait for a stream, one being written at a time.
+struct write_queue {
+  std::deque<wire::envelope> waiting;
+  size_t bytes = 0;
+  bool writing = false;
+  wire::envelope current;
+
+  bool push(wire::envelope envelope) {
+    size_t size = envelope.ByteSizeLong();
+    if (bytes + size > MAX_QUEUED_BYTES && !waiting.empty())
+      return false;
+    bytes += size;
+    waiting.push_back(std::move(envelope));
+    return true;
+  }
+
+  bool take_next() {
+    if (waiting.empty())
+      return false;
+    current = std::move(waiting.front());
+    waiting.pop_front();
+    bytes -= std::min(bytes, current.ByteSizeLong());
+    return true;
+  }
+};
+
+class client_stream;
+
+// One peer that is sent to; outlives its streams.
+struct peer_slot {
+  std::mutex mutex;
+  std::shared_ptr<grpc::Channel> channel;
+  std::unique_ptr<wire::link::Stub> stub;
+  client_stream* stream = nullptr;
+  steady_clock::time_point open_after;
+};
+
+class client_stream
+    : public grpc::ClientBidiReactor<wire::envelope, wire::envelope> {
+ public:
+  client_stream(std::shared_ptr<peer_slot> slot, rpc_node::receiver receive)
+      : slot_(std::move(slot)), receive_(std::move(receive)) {}
+
+  void open() {
+    slot_->stub->async()->exchange(&context_, this);
+    AddHold();
+    StartRead(&incoming_);
+    StartCall();
+  }
+
+  bool send(wire::envelope envelope) {
+    std::lock_guard lock(mutex_);
+    if (closed_ || !queue_.push(std::move(envelope)))
+      return false;
+    if (!queue_.writing && queue_.take_next()) {
+      queue_.writing = true;
+      StartWrite(&queue_.current);
+    }
+    return true;
+  }
+
+  void OnReadDone(bool ok) override {
+    if (!ok) {
+      close();
+      return;
+    }
+    receive_(std::move(incoming_));
+    incoming_.Clear();
+    StartRead(&incoming_);
+  }
+
+  void OnWriteDone(bool ok) override {
+    if (!ok) {
+      close();
+      return;
+    }
+    std::lock_guard lock(mutex_);
+    queue_.writing = queue_.take_next();
+    if (queue_.writing)
+      StartWrite(&queue_.current);
+  }
+
+  void OnDone(const grpc::Status& /*status*/) override {
+    {
+      std::lock_guard lock(slot_->mutex);
+      if (slot_->stream == this)
+        slot_->stream = nullptr;
+      slot_->open_after = steady_clock::now() + REOPEN_DELAY;
+    }
+    delete this;
+  }
+
+  void close() {
+    {
+      std::lock_guard lock(mutex_);
+      if (closed_)
+        return;
+      closed_ = true;
+    }
+    context_.TryCancel();
+    RemoveHold();
+  }
+
+ private:
+  std::shared_ptr<peer_slot> slot_;
+  rpc_node::receiver receive_;
+  grpc::ClientContext context_;
+  wire::envelope incoming_;
+  std::mutex mutex_;
+  write_queue queue_;
+  bool closed_ = false;
+};
+
+class server_stream;
+
+// The streams that others opened, by the host that they speak for.
+struct incoming_streams {
+  std::mutex mutex;
+  std::map<std::string, server_stream*> by_host;
+};
+
+class server_stream
+    : public grpc::ServerBidiReactor<wire::envelope, wire::envelope> {
+ public:
+  server_stream(incoming_streams& all, rpc_node::receiver receive)
+      : all_(all), receive_(std::move(receive)) {
+    StartRead(&incoming_);
+  }
+
+  bool send(wire::envelope envelope) {
+    std::lock_guard lock(mutex_);
+    if (closed_ || !queue_.push(std::move(envelope)))
+      return false;
+    if (!queue_.writing && queue_.take_next()) {
+      queue_.writing = true;
+      StartWrite(&queue_.current);
+    }
+    return true;
+  }
+
+  void OnReadDone(bool ok) override {
+    if (!ok) {
+      close();
+      return;
+    }
+    if (incoming_.from() != host_) {
+      host_ = incoming_.from();
+      std::lock_guard lock(all_.mutex);
+      all_.by_host[host_] = this;
+    }
+    receive_(std::move(incoming_));
+    incoming_.Clear();
+    StartRead(&incoming_);
+  }
+
+  void OnWriteDone(bool ok) override {
+    bool finish = false;
+    {
+      std::lock_guard lock(mutex_);
+      queue_.writing = ok && !closed_ && queue_.take_next();
+      if (queue_.writing)
+        StartWrite(&queue_.current);
+      finish = !queue_.writing && closed_;
+    }
+    if (finish)
+      Finish(grpc::Status::OK);
+    else if (!ok)
+      close();
+  }
+
+  void OnCancel() override { close(); }
+
+  void OnDone() override {
+    {
+      std::lock_guard lock(all_.mutex);
+      auto found = all_.by_host.find(host_);
+      if (found != all_.by_host.end() && found->second == this)
+        all_.by_host.erase(found);
+    }
+    delete this;
+  }
+
+ private:
+  // Finish may not overlap a write.
+  void close() {
+    bool finish = false;
+    {
+      std::lock_guard lock(mutex_);
+      if (closed_)
+        return;
+      closed_ = true;
+      finish = !queue_.writing;
+    }
+    if (finish)
+      Finish(grpc::Status::OK);
+  }
+
+  incoming_streams& all_;
+  rpc_node::receiver receive_;
+  wire::envelope incoming_;
+  std::string host_;
+  std::mutex mutex_;
+  write_queue queue_;
+  bool closed_ = false;
+};
+
+class link_service : public wire::link::CallbackService {
+ public:
+  link_service(incoming_streams& all, rpc_node::receiver receive)
+      : all_(all), receive_(std::move(receive)) {}
+
+  grpc::ServerBidiReactor<wire::envelope, wire::envelope>* exchange(
+      grpc::CallbackServerContext* /*context*/) override {
+    return new server_stream(all_, receive_);
+  }
+
+ private:
+  incoming_streams& all_;
+  rpc_node::receiver receive_;
+};
+
+grpc::ChannelArguments channel_arguments() {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, KEEPALIVE_TIME_MS);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KEEPALIVE_TIMEOUT_MS);
+  arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                   MIN_RECONNECT_BACKOFF_MS);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, MIN_RECONNECT_BACKOFF_MS);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MAX_RECONNECT_BACKOFF_MS);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetMaxReceiveMessageSize(MAX_MESSAGE_BYTES);
+  arguments.SetMaxSendMessageSize(MAX_MESSAGE_BYTES);
+  return arguments;
+}
+
+}  // namespace
+
+struct rpc_node::implementation {
+  receiver receive;
+  std::map<std::string, std::shared_ptr<peer_slot>> peers;
+  incoming_streams incoming;
+  std::unique_ptr<link_service> service;
+  std::unique_ptr<grpc::Server> server;
+  std::atomic<uint64_t> sent_messages{0};
+  std::atomic<uint64_t> sent_bytes{0};
+  std::atomic<uint64_t> dropped_messages{0};
+
+  bool send_to_peer(const std::shared_ptr<peer_slot>& slot,
+                    wire::envelope envelope) {
+    std::lock_guard lock(slot->mutex);
+    if (slot->stream == nullptr) {
+      if (steady_clock::now() < slot->open_after)
+        return false;
+      slot->stream = new client_stream(slot, receive);
+      slot->stream->open();
+    }
+    return slot->stream->send(std::move(envelope));
+  }
+
+  bool send_to_caller(const std::string& host, wire::envelope envelope) {
+    std::lock_guard lock(incoming.mutex);
+    auto found = incoming.by_host.find(host);
+    return found != incoming.by_host.end() &&
+           found->second->send(std::move(envelope));
+  }
+};
+
+rpc_node::rpc_node(const std::map<std::string, std::string>& peer_addresses,
+                   receiver receive)
+    : implementation_(std::make_unique<implementation>()) {
+  implementation_->receive = std::move(receive);
+  for (const auto& [host, address] : peer_addresses) {
+    auto slot = std::make_shared<peer_slot>();
+    slot->channel = grpc::CreateCustomChannel(
+        address, grpc::InsecureChannelCredentials(), channel_arguments());
+    slot->stub = wire::link::NewStub(slot->channel);
+    implementation_->peers.emplace(host, std::move(slot));
+  }
+}
+
+rpc_node::~rpc_node() {
+  for (auto& [host, slot] : implementation_->peers) {
+    std::lock_guard lock(slot->mutex);
+    if (slot->stream != nullptr)
+      slot->stream->close();
+  }
+  if (implementation_->server)
+    implementation_->server->Shutdown(std::chrono::system_clock::now());
+}
+
+result<done> rpc_node::listen(const std::string& address) {
+  implementation_->service = std::make_unique<link_service>(
+      implementation_->incoming, implementation_->receive);
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+  builder.RegisterService(implementation_->service.get());
+  builder.SetMaxReceiveMessageSize(MAX_MESSAGE_BYTES);
+  builder.SetMaxSendMessageSize(MAX_MESSAGE_BYTES);
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, KEEPALIVE_TIME_MS);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
+                             KEEPALIVE_TIMEOUT_MS);
+  builder.AddChannelArgument(
+      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+      KEEPALIVE_TIME_MS / 2);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+  implementation_->server = builder.BuildAndStart();
+  if (!implementation_->server || port == 0)
+    return error{error_code::listen_failed, address};
+  return done{};
+}
+
+void rpc_node::send(const std::string& host, wire::envelope envelope) {
+  size_t bytes = envelope.ByteSizeLong();
+  auto peer = implementation_->peers.find(host);
+  bool sent =
+      peer != implementation_->peers.end()
+          ? implementation_->send_to_peer(peer->second, std::move(envelope))
+          : implementation_->send_to_caller(host, std::move(envelope));
+  if (!sent) {
+    ++implementation_->dropped_messages;
+    return;
+  }
+  ++implementation_->sent_messages;
+  implementation_->sent_bytes += bytes;
+}
+
+rpc_counts rpc_node::counts() const {
+  rpc_counts counts;
+  counts.sent_messages = implementation_->sent_messages;
+  counts.sent_bytes = implementation_->sent_bytes;
+  counts.dropped_messages = implementation_->dropped_messages;
+  return counts;
+}
+
+}  // namespace cyclamenwood
