--- /dev/null
+++ b/programs/ctl.cc
@@ -0,0 +1,327 @@
+// cyclamenwoodctl: the operators' command line, over an entry host's HTTP.
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "cyclamenwood/bundle.h"
+#include "cyclamenwood/settings.h"
+#include "cyclamenwood/util/program.h"
+
+namespace cyclamenwood {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr const char* PROGRAM = "cyclamenwoodctl";
+constexpr long DEFAULT_TIMEOUT_MS = 60'000;
+constexpr long FIRST_FAILURE_STATUS = 400;
+constexpr int INDENT = 2;
+
+constexpr const char* HELP =
+    R"(Usage: cyclamenwoodctl [options] COMMAND
+
+Commands without a host:
+  settings check FILE         check settings; say what each placement survives
+  bundle check FILE           check a configuration bundle
+
+Commands for the host given by --host:
+  bundle roll-out FILE        roll a bundle out; prints the accepted version
+  bundle show                 the bundle in force
+  job submit FILE             submit a job (JSON; - reads standard input)
+  job show TENANT KEY         a job's state or answer
+  job cancel TENANT KEY       cancel a job
+  upstreams                   the upstreams known, with state and holder
+  status                      the host's state
+  histograms                  response, queue and ratio by tenant and class
+  drain                       start a graceful shutdown (entryd or replicad)
+
+Options:
+  -H, --host IP:PORT          entry host's HTTP address (default 127.0.0.1:8000)
+  -t, --timeout-ms MS         give up after this time (default 60000)
+  -j, --json                  print answers as they came, for scripts
+  -h, --help                  this text
+
+Exit codes: 0 done, 1 refused or failed (the typed error is on standard
+error), 2 command line, settings or bundle wrong, 3 no answer: the request may
+have been carried out.
+)";
+
+struct arguments {
+  std::string host = "127.0.0.1:8000";
+  long timeout_ms = DEFAULT_TIMEOUT_MS;
+  bool raw_json = false;
+  std::vector<std::string> words;
+};
+
+struct http_reply {
+  long status = 0;
+  std::string body;
+};
+
+size_t append_body(char* data, size_t size, size_t count, void* into) {
+  static_cast<std::string*>(into)->append(data, size * count);
+  return size * count;
+}
+
+result<http_reply> call(const arguments& given,
+                        const std::string& method,
+                        const std::string& path,
+                        const std::string& body) {
+  CURL* easy = curl_easy_init();
+  std::string url = fmt::format("http://{}{}", given.host, path);
+  http_reply reply;
+  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, given.timeout_ms);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &append_body);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &reply.body);
+  if (!body.empty()) {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.data());
+  }
+  CURLcode code = curl_easy_perform(easy);
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply.status);
+  curl_slist_free_all(headers);
+  curl_easy_cleanup(easy);
+  if (code != CURLE_OK)
+    return error{error_code::connection_failed,
+                 fmt::format("{}: {}", given.host, curl_easy_strerror(code))};
+  return reply;
+}
+
+result<std::string> read_input(const std::string& path) {
+  std::ostringstream text;
+  if (path == "-") {
+    text << std::cin.rdbuf();
+    return text.str();
+  }
+  std::ifstream file(path);
+  if (!file)
+    return error{error_code::usage, fmt::format("{}: cannot be read", path)};
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string escape(const std::string& text) {
+  char* escaped =
+      curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
+  std::string copy(escaped);
+  curl_free(escaped);
+  return copy;
+}
+
+int print_reply(const arguments& given, const result<http_reply>& called) {
+  if (!ok(called))
+    return report(PROGRAM, failure(called));
+  const auto& reply = std::get<http_reply>(called);
+  json body = json::parse(reply.body, nullptr, false);
+  bool failed = reply.status >= FIRST_FAILURE_STATUS;
+  std::FILE* stream = failed ? stderr : stdout;
+  if (given.raw_json || body.is_discarded()) {
+    fmt::print(stream, "{}\n", reply.body);
+  } else if (failed && body.contains("error")) {
+    fmt::print(stderr, "{}: {}: {} (execution {}, bundle version {})\n",
+               PROGRAM, body["error"].value("type", ""),
+               body["error"].value("detail", ""), body.value("execution", ""),
+               body.value("bundle_version", uint64_t{0}));
+  } else {
+    fmt::print(stream, "{}\n", body.dump(INDENT));
+  }
+  return failed ? EXIT_CODE_FAILED : EXIT_CODE_OK;
+}
+
+int send(const arguments& given,
+         const std::string& method,
+         const std::string& path,
+         const std::string& body = {}) {
+  return print_reply(given, call(given, method, path, body));
+}
+
+int send_file(const arguments& given,
+              const std::string& method,
+              const std::string& path,
+              const std::string& file) {
+  result<std::string> body = read_input(file);
+  if (!ok(body))
+    return report(PROGRAM, failure(body));
+  return send(given, method, path, value(body));
+}
+
+// ---- Commands -------------------------------------------------------------
+
+int check_settings(const arguments& given) {
+  result<settings> loaded = load_settings(given.words[2]);
+  if (!ok(loaded))
+    return report(PROGRAM, failure(loaded));
+  for (const std::string& line : describe_placement(value(loaded)))
+    fmt::print("{}\n", line);
+  return EXIT_CODE_OK;
+}
+
+int check_bundle(const arguments& given) {
+  result<std::string> text = read_input(given.words[2]);
+  if (!ok(text))
+    return report(PROGRAM, failure(text));
+  result<bundle> parsed = parse_bundle(value(text));
+  if (!ok(parsed)) {
+    report(PROGRAM, failure(parsed));
+    return EXIT_CODE_USAGE;
+  }
+  fmt::print("version {} replaces {}\n", value(parsed).version,
+             value(parsed).replaces);
+  return EXIT_CODE_OK;
+}
+
+int roll_out(const arguments& given) {
+  return send_file(given, "PUT", "/v1/bundle", given.words[2]);
+}
+
+int show_bundle(const arguments& given) {
+  result<http_reply> called = call(given, "GET", "/v1/bundle", "");
+  if (!given.raw_json && ok(called) &&
+      value(called).status < FIRST_FAILURE_STATUS) {
+    json body = json::parse(value(called).body, nullptr, false);
+    fmt::print("{}\n", body.value("content", ""));
+    return EXIT_CODE_OK;
+  }
+  return print_reply(given, called);
+}
+
+int submit_job(const arguments& given) {
+  return send_file(given, "POST", "/v1/jobs", given.words[2]);
+}
+
+std::string job_path(const arguments& given) {
+  return fmt::format("/v1/jobs/{}/{}", escape(given.words[2]),
+                     escape(given.words[3]));
+}
+
+int show_job(const arguments& given) {
+  return send(given, "GET", job_path(given));
+}
+
+int cancel_job(const arguments& given) {
+  return send(given, "DELETE", job_path(given));
+}
+
+int show_histograms(const arguments& given) {
+  result<http_reply> called = call(given, "GET", "/v1/metrics", "");
+  if (given.raw_json || !ok(called))
+    return print_reply(given, called);
+  json page = json::parse(value(called).body, nullptr, false);
+  for (const char* name : {"response_ms", "queue_ms", "response_over_ideal"}) {
+    fmt::print("{}\n", name);
+    for (const auto& [tenant, classes] : page[name].items()) {
+      for (const auto& [class_name, cell] : classes.items()) {
+        fmt::print(
+            "  {:<16} {:<12} n {:<8} p50 {:<10.4g} p99 {:<10.4g} "
+            "p99.9 {:.4g}\n",
+            tenant, class_name, cell.value("count", 0.0),
+            cell.value("p50", 0.0), cell.value("p99", 0.0),
+            cell.value("p999", 0.0));
+      }
+    }
+  }
+  fmt::print("counters {}\n", page["counters"].dump(INDENT));
+  return EXIT_CODE_OK;
+}
+
+struct command {
+  std::vector<std::string> words;
+  size_t parameters = 0;
+  std::function<int(const arguments&)> run;
+};
+
+std::vector<command> all_commands() {
+  return {
+      {{"settings", "check"}, 1, check_settings},
+      {{"bundle", "check"}, 1, check_bundle},
+      {{"bundle", "roll-out"}, 1, roll_out},
+      {{"bundle", "show"}, 0, show_bundle},
+      {{"job", "submit"}, 1, submit_job},
+      {{"job", "show"}, 2, show_job},
+      {{"job", "cancel"}, 2, cancel_job},
+      {{"upstreams"},
+       0,
+       [](const arguments& given) {
+         return send(given, "GET", "/v1/upstreams");
+       }},
+      {{"status"},
+       0,
+       [](const arguments& given) { return send(given, "GET", "/v1/status"); }},
+      {{"histograms"}, 0, show_histograms},
+      {{"drain"},
+       0,
+       [](const arguments& given) { return send(given, "POST", "/v1/drain"); }},
+  };
+}
+
+bool matches(const command& candidate, const arguments& given) {
+  if (given.words.size() != candidate.words.size() + candidate.parameters)
+    return false;
+  return std::equal(candidate.words.begin(), candidate.words.end(),
+                    given.words.begin());
+}
+
+int run(const arguments& given) {
+  for (const command& candidate : all_commands()) {
+    if (matches(candidate, given))
+      return candidate.run(given);
+  }
+  return report(PROGRAM,
+                error{error_code::usage, "unknown command; see --help"});
+}
+
+int run_program(int argc, char** argv) {
+  arguments given;
+  const option options[] = {{"host", required_argument, nullptr, 'H'},
+                            {"timeout-ms", required_argument, nullptr, 't'},
+                            {"json", no_argument, nullptr, 'j'},
+                            {"help", no_argument, nullptr, 'h'},
+                            {nullptr, 0, nullptr, 0}};
+  int choice = 0;
+  while ((choice = getopt_long(argc, argv, "H:t:jh", options, nullptr)) != -1) {
+    switch (choice) {
+      case 'H':
+        given.host = optarg;
+        break;
+      case 't':
+        given.timeout_ms = std::strtol(optarg, nullptr, 10);
+        break;
+      case 'j':
+        given.raw_json = true;
+        break;
+      case 'h':
+        fmt::print("{}", HELP);
+        return EXIT_CODE_OK;
+      default:
+        return EXIT_CODE_USAGE;
+    }
+  }
+  if (given.timeout_ms <= 0)
+    return report(PROGRAM,
+                  error{error_code::usage, "--timeout-ms must be positive"});
+  for (int i = optind; i < argc; ++i)
+    given.words.emplace_back(argv[i]);
+  return run(given);
+}
+
+}  // namespace
+}  // namespace cyclamenwood
+
+int main(int argc, char** argv) {
+  return cyclamenwood::run_program(argc, argv);
+}
--- /dev/null
+++ b/programs/entryd.cc
@@ -0,0 +1,72 @@
+// cyclamenwood-entryd: the process of one entry host.
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <string>
+
+#include "cyclamenwood/entry_daemon.h"
+#include "cyclamenwood/util/log.h"
+#include "cyclamenwood/util/program.h"
+
+namespace cyclamenwood {
+namespace {
+
+constexpr const char* PROGRAM = "cyclamenwood-entryd";
+
+constexpr const char* HELP =
+    R"(Usage: cyclamenwood-entryd --settings FILE --name NAME
+
+Serves callers, upstreams and operators on the entry host NAME of the
+deployment described in FILE. SIGTERM drains it: running work is finished and
+the process exits.
+
+  -s, --settings FILE   the deployment's settings
+  -n, --name NAME       this entry host's name in the settings
+  -h, --help            this text
+
+Exit codes: 0 drained, 2 command line or settings, 4 port in use.
+)";
+
+int run_program(int argc, char** argv) {
+  std::string settings_path;
+  std::string name;
+  const option options[] = {{"settings", required_argument, nullptr, 's'},
+                            {"name", required_argument, nullptr, 'n'},
+                            {"help", no_argument, nullptr, 'h'},
+                            {nullptr, 0, nullptr, 0}};
+  int choice = 0;
+  while ((choice = getopt_long(argc, argv, "s:n:h", options, nullptr)) != -1) {
+    switch (choice) {
+      case 's':
+        settings_path = optarg;
+        break;
+      case 'n':
+        name = optarg;
+        break;
+      case 'h':
+        fmt::print("{}", HELP);
+        return EXIT_CODE_OK;
+      default:
+        return EXIT_CODE_USAGE;
+    }
+  }
+  if (settings_path.empty() || name.empty())
+    return report(PROGRAM,
+                  error{error_code::usage, "--settings and --name are needed"});
+  std::signal(SIGPIPE, SIG_IGN);
+  result<settings> loaded = load_settings(settings_path);
+  if (!ok(loaded))
+    return report(PROGRAM, failure(loaded));
+  set_log_level(value(loaded).level);
+  result<done> ended = run_entry_daemon(value(loaded), name);
+  return ok(ended) ? EXIT_CODE_OK : report(PROGRAM, failure(ended));
+}
+
+}  // namespace
+}  // namespace cyclamenwood
+
+int main(int argc, char** argv) {
+  return cyclamenwood::run_program(argc, argv);
+}
