Registry: copy each holder's set as it is

Cause: the copy kept one record an upstream over all holders. A stray READY heard by one holder after a LEAVING heard by another made both copies differ from their holders' sets for as long as the records were remembered, and a set whose digest differs is not used: one record cost a host a whole set of upstreams for up to a minute. Ruled out: an error in the digest (equal sets gave equal digests). The view over all sets picks the newest record.

--- a/cyclamenwood/registry.cc
+++ b/cyclamenwood/registry.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <tuple>
 
 namespace cyclamenwood {
 namespace {
@@ -27,11 +28,6 @@
       static_cast<int>(record.state())));
 }
 
-// Whether the record is part of its holder's set.
-bool is_held(const known_upstream& upstream, std::string_view holder) {
-  return upstream.holder == holder && !upstream.expired;
-}
-
 struct set_summary {
   uint32_t count = 0;
   uint64_t digest = 0;
@@ -40,10 +36,11 @@
 
 set_summary summarize(const registry& all, std::string_view holder) {
   set_summary summary;
-  for (const auto& [id, upstream] : all.upstreams) {
-    if (!is_held(upstream, holder))
-      continue;
-    uint64_t hash = record_hash(upstream.record);
+  auto set = all.sets.find(holder);
+  if (set == all.sets.end())
+    return summary;
+  for (const auto& [id, held] : set->second) {
+    uint64_t hash = record_hash(held.record);
     ++summary.count;
     summary.digest ^= hash;
     summary.buckets[bucket_of(id)] ^= hash;
@@ -52,33 +49,19 @@
 }
 
 bool same_facts(const wire::upstream& a, const wire::upstream& b) {
-  return a.incarnation() == b.incarnation() && a.service() == b.service() &&
-         a.address() == b.address() && a.zone() == b.zone() &&
-         a.slots() == b.slots() && a.state() == b.state();
+  return record_hash(a) == record_hash(b);
 }
 
+// Later in the life of the upstream.
 bool is_newer(const wire::upstream& a, const wire::upstream& b) {
-  if (a.incarnation() != b.incarnation())
-    return a.incarnation() > b.incarnation();
-  return a.sequence() > b.sequence();
-}
-
-void set_forget(known_upstream& upstream, unix_ms now) {
-  bool gone =
-      upstream.expired || upstream.record.state() == wire::UPSTREAM_LEAVING;
-  upstream.forget_at_ms = gone ? now + FORGET_AFTER_MS : 0;
+  auto order = [](const wire::upstream& record) {
+    bool left = record.state() == wire::UPSTREAM_LEAVING;
+    return std::tuple(record.incarnation(), left, record.sequence());
+  };
+  return order(a) > order(b);
 }
 
-void put(registry& all, known_upstream upstream) {
-  std::string id = upstream.record.id();
-  auto found = all.upstreams.find(id);
-  if (found != all.upstreams.end())
-    all.by_service[found->second.record.service()].erase(id);
-  all.by_service[upstream.record.service()].insert(id);
-  all.upstreams[id] = std::move(upstream);
-}
-
-void drop(registry& all, const std::string& id) {
+void forget(registry& all, const std::string& id) {
   auto found = all.upstreams.find(id);
   if (found == all.upstreams.end())
     return;
@@ -89,33 +72,51 @@
   all.upstreams.erase(found);
 }
 
-void expire(known_upstream& upstream, unix_ms now) {
-  upstream.expired = true;
-  set_forget(upstream, now);
+void set_view(registry& all, const std::string& id, known_upstream view) {
+  forget(all, id);
+  all.by_service[view.record.service()].insert(id);
+  all.upstreams[id] = std::move(view);
 }
 
-// Takes one record that `from` holds.
-void merge(registry& all,
-           std::string_view from,
-           const wire::upstream& record,
-           unix_ms now) {
-  auto found = all.upstreams.find(record.id());
-  if (found != all.upstreams.end()) {
-    const known_upstream& known = found->second;
-    bool from_same_holder = known.holder == from && !known.expired;
-    bool same_life = known.record.incarnation() == record.incarnation();
-    bool left = same_life && known.record.state() == wire::UPSTREAM_LEAVING;
-    if (left && record.state() != wire::UPSTREAM_LEAVING)
-      return;
-    bool outdated = is_newer(known.record, record);
-    if (outdated && !(from_same_holder && same_life))
+// Recomputes the view of one upstream from the sets.
+void refresh_view(registry& all, const std::string& id, unix_ms now) {
+  const held_upstream* best = nullptr;
+  std::string_view holder;
+  for (const auto& [name, set] : all.sets) {
+    auto found = set.find(id);
+    if (found == set.end())
+      continue;
+    if (best == nullptr || is_newer(found->second.record, best->record)) {
+      best = &found->second;
+      holder = name;
+    }
+  }
+  auto known = all.upstreams.find(id);
+  bool remembered = known != all.upstreams.end();
+  // What is remembered as gone counts more than an older record.
+  bool outdated = best != nullptr && remembered &&
+                  is_newer(known->second.record, best->record) &&
+                  known->second.forget_at_ms != 0;
+  if (best == nullptr || outdated) {
+    if (!remembered || known->second.expired)
       return;
+    known->second.expired = true;
+    known->second.forget_at_ms = now + FORGET_AFTER_MS;
+    return;
   }
-  known_upstream upstream;
-  upstream.record = record;
-  upstream.holder = from;
-  set_forget(upstream, now);
-  put(all, std::move(upstream));
+  known_upstream view;
+  view.record = best->record;
+  view.holder = holder;
+  view.lease_until_ms = best->lease_until_ms;
+  if (best->record.state() == wire::UPSTREAM_LEAVING)
+    view.forget_at_ms = now + FORGET_AFTER_MS;
+  set_view(all, id, std::move(view));
+}
+
+void drop_own(registry& all, const std::string& id, unix_ms now) {
+  all.sets[all.self].erase(id);
+  all.outgoing.add_dropped(id);
+  refresh_view(all, id, now);
 }
 
 // Drops what `from` no longer holds in the buckets that it sent whole.
@@ -127,10 +128,50 @@
   for (const wire::upstream& record : delta.upstreams())
     listed.insert(record.id());
   std::set<size_t> buckets(delta.buckets().begin(), delta.buckets().end());
-  for (auto& [id, upstream] : all.upstreams) {
-    if (is_held(upstream, from) && buckets.contains(bucket_of(id)) &&
-        !listed.contains(id))
-      expire(upstream, now);
+  std::vector<std::string> dropped;
+  auto& set = all.sets[std::string(from)];
+  for (const auto& [id, held] : set) {
+    if (buckets.contains(bucket_of(id)) && !listed.contains(id))
+      dropped.push_back(id);
+  }
+  for (const std::string& id : dropped) {
+    set.erase(id);
+    refresh_view(all, id, now);
+  }
+}
+
+// Ends own records that ran out, that left long ago, or that another host
+// holds in a newer version.
+void expire_own(registry& all, unix_ms now) {
+  std::vector<std::string> ended;
+  for (const auto& [id, held] : all.sets[all.self]) {
+    bool ran_out = held.record.state() == wire::UPSTREAM_READY &&
+                   now >= held.lease_until_ms;
+    bool left_long_ago = held.forget_at_ms != 0 && now >= held.forget_at_ms;
+    auto view = all.upstreams.find(id);
+    bool moved = view != all.upstreams.end() &&
+                 view->second.holder != all.self &&
+                 is_newer(view->second.record, held.record);
+    if (ran_out || left_long_ago || moved)
+      ended.push_back(id);
+  }
+  for (const std::string& id : ended)
+    drop_own(all, id, now);
+}
+
+// A holder that is long silent is gone, and its set with it.
+void expire_silent_holders(registry& all, unix_ms now) {
+  for (auto& [name, set] : all.sets) {
+    if (name == all.self || set.empty())
+      continue;
+    auto holder = all.holders.find(name);
+    if (holder != all.holders.end() &&
+        now < holder->second.heard_ms + FORGET_AFTER_MS)
+      continue;
+    auto gone = std::move(set);
+    set.clear();
+    for (const auto& [id, held] : gone)
+      refresh_view(all, id, now);
   }
 }
 
@@ -139,24 +180,27 @@
 announce_result registry_announce(registry& all,
                                   const wire::upstream& record,
                                   unix_ms now) {
-  bool changed = true;
   wire::upstream next = record;
-  auto found = all.upstreams.find(record.id());
-  if (found != all.upstreams.end()) {
-    const known_upstream& known = found->second;
-    if (is_newer(known.record, record))
-      return announce_result::outdated;
-    bool same_life = known.record.incarnation() == record.incarnation();
-    if (same_life && known.record.state() == wire::UPSTREAM_LEAVING)
+  auto known = all.upstreams.find(record.id());
+  bool is_known = known != all.upstreams.end();
+  if (is_known) {
+    const wire::upstream& last = known->second.record;
+    bool same_life = last.incarnation() == record.incarnation();
+    if (same_life && last.state() == wire::UPSTREAM_LEAVING)
       next.set_state(wire::UPSTREAM_LEAVING);
-    changed = !same_facts(known.record, next) || !is_held(known, all.self);
+    if (is_newer(last, next))
+      return announce_result::outdated;
   }
-  known_upstream upstream;
-  upstream.record = next;
-  upstream.holder = all.self;
-  upstream.lease_until_ms = now + all.options.upstream_lease_ms;
-  set_forget(upstream, now);
-  put(all, std::move(upstream));
+  bool changed = !is_known || known->second.expired ||
+                 known->second.holder != all.self ||
+                 !same_facts(known->second.record, next);
+  held_upstream held;
+  held.record = next;
+  held.lease_until_ms = now + all.options.upstream_lease_ms;
+  if (next.state() == wire::UPSTREAM_LEAVING)
+    held.forget_at_ms = now + FORGET_AFTER_MS;
+  all.sets[all.self][next.id()] = std::move(held);
+  refresh_view(all, next.id(), now);
   if (!changed)
     return announce_result::renewed;
   *all.outgoing.add_upstreams() = next;
@@ -164,32 +208,15 @@
 }
 
 void registry_expire(registry& all, unix_ms now) {
+  expire_own(all, now);
+  expire_silent_holders(all, now);
   std::vector<std::string> forgotten;
-  for (auto& [id, upstream] : all.upstreams) {
-    if (upstream.forget_at_ms != 0 && now >= upstream.forget_at_ms) {
-      if (is_held(upstream, all.self))
-        all.outgoing.add_dropped(id);
+  for (const auto& [id, upstream] : all.upstreams) {
+    if (upstream.forget_at_ms != 0 && now >= upstream.forget_at_ms)
       forgotten.push_back(id);
-      continue;
-    }
-    bool ran_out = is_held(upstream, all.self) &&
-                   upstream.record.state() == wire::UPSTREAM_READY &&
-                   now >= upstream.lease_until_ms;
-    if (ran_out) {
-      expire(upstream, now);
-      all.outgoing.add_dropped(id);
-      continue;
-    }
-    // A holder that is long silent is gone, and its set with it.
-    if (upstream.holder == all.self || upstream.expired)
-      continue;
-    auto holder = all.holders.find(upstream.holder);
-    if (holder == all.holders.end() ||
-        now >= holder->second.heard_ms + FORGET_AFTER_MS)
-      expire(upstream, now);
   }
   for (const std::string& id : forgotten)
-    drop(all, id);
+    forget(all, id);
 }
 
 wire::upstream_delta registry_take_outgoing(registry& all) {
@@ -244,9 +271,12 @@
     differing.insert(bucket);
     delta.add_buckets(bucket);
   }
-  for (const auto& [id, upstream] : all.upstreams) {
-    if (is_held(upstream, all.self) && differing.contains(bucket_of(id)))
-      *delta.add_upstreams() = upstream.record;
+  auto set = all.sets.find(all.self);
+  if (set == all.sets.end())
+    return delta;
+  for (const auto& [id, held] : set->second) {
+    if (differing.contains(bucket_of(id)))
+      *delta.add_upstreams() = held.record;
   }
   return delta;
 }
@@ -257,14 +287,16 @@
                             unix_ms now) {
   if (from == all.self)
     return;
+  drop_unlisted(all, from, delta, now);
+  auto& set = all.sets[std::string(from)];
   for (const std::string& id : delta.dropped()) {
-    auto found = all.upstreams.find(id);
-    if (found != all.upstreams.end() && is_held(found->second, from))
-      expire(found->second, now);
+    set.erase(id);
+    refresh_view(all, id, now);
+  }
+  for (const wire::upstream& record : delta.upstreams()) {
+    set[record.id()].record = record;
+    refresh_view(all, record.id(), now);
   }
-  drop_unlisted(all, from, delta, now);
-  for (const wire::upstream& record : delta.upstreams())
-    merge(all, from, record, now);
 }
 
 bool registry_usable(const registry& all,
--- a/cyclamenwood/registry.h
+++ b/cyclamenwood/registry.h
@@ -8,10 +8,12 @@
 // for in time is not used, so a lost leave or a dead holder stops new work
 // within the vouch timeout.
 //
-// Order. Of two records of one upstream the one with the higher (incarnation,
-// sequence) wins. Within an incarnation `leaving` is final. Records that left
-// or expired are remembered for a while, so that late messages do not revive
-// them.
+// Each holder's set is copied as it is, so that digests can agree whatever
+// another holder says of the same upstream. Of several records of one
+// upstream the view takes the one with the highest incarnation; within an
+// incarnation `leaving` is final, then the higher sequence counts. Records
+// that left or expired are remembered for a while, so that late messages do
+// not revive them.
 #ifndef CYCLAMENWOOD_REGISTRY_H_
 #define CYCLAMENWOOD_REGISTRY_H_
 
@@ -31,13 +33,23 @@
 
 constexpr size_t REGISTRY_BUCKETS = 32;
 
+// One record of a holder's set.
+struct held_upstream {
+  wire::upstream record;
+  // Own set only.
+  unix_ms lease_until_ms = 0;
+  // Own set, nonzero for records that left: when they go.
+  unix_ms forget_at_ms = 0;
+};
+
+// The view of one upstream over all sets.
 struct known_upstream {
   wire::upstream record;
   // The entry host that hears the announcements; may be this one.
   std::string holder;
   // Own leases only.
   unix_ms lease_until_ms = 0;
-  // The lease ended without a leave.
+  // No set has a record any more that would count.
   bool expired = false;
   // Nonzero for records that left or expired: when to forget them.
   unix_ms forget_at_ms = 0;
@@ -56,6 +68,11 @@
 struct registry {
   std::string self;
   membership_settings options;
+  // By holder and id. Invariant: `upstreams` has the best record of each id.
+  std::map<std::string,
+           std::map<std::string, held_upstream, std::less<>>,
+           std::less<>>
+      sets;
   std::map<std::string, known_upstream, std::less<>> upstreams;
   std::map<std::string, known_holder, std::less<>> holders;
   // Ids by service, for all records that are not forgotten.
