--- a/cyclamenwood/testing/deployment.cc
+++ b/cyclamenwood/testing/deployment.cc
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -399,6 +400,12 @@
   std::filesystem::remove_all(data_folder(replica));
 }
 
+void deployment::limit_file_size(const std::string& name, int64_t bytes) {
+  auto size = static_cast<rlim_t>(bytes);
+  rlimit limit{size, size};
+  prlimit(processes_.at(name).pid, RLIMIT_FSIZE, &limit, nullptr);
+}
+
 void deployment::format_data(const std::string& replica) {
   result<uint64_t> identity = format_folder(data_folder(replica), replica);
   identities_[replica] = fmt::format("{:016x}", value(identity));
--- a/cyclamenwood/testing/deployment.h
+++ b/cyclamenwood/testing/deployment.h
@@ -107,6 +107,8 @@
   int wait_for_exit(const std::string& name, int64_t limit_ms = 20'000);
   std::string log_of(const std::string& name) const;
   void wipe_data(const std::string& replica);
+  // The process can't write files beyond this size: a full disk.
+  void limit_file_size(const std::string& name, int64_t bytes);
   void format_data(const std::string& replica);
   std::string data_folder(const std::string& replica) const;
 
--- a/programs/replicad.cc
+++ b/programs/replicad.cc
@@ -95,6 +95,8 @@
   if (given.settings_path.empty())
     return report(PROGRAM, error{error_code::usage, "--settings is needed"});
   std::signal(SIGPIPE, SIG_IGN);
+  // A file size limit shows as a failed write.
+  std::signal(SIGXFSZ, SIG_IGN);
   return run(given);
 }
 
