--- a/cyclamenwood/entry_daemon.cc
+++ b/cyclamenwood/entry_daemon.cc
@@ -41,6 +41,14 @@
   return addresses;
 }
 
+// Differs from that of every other run, also when the clock was set back.
+uint64_t new_incarnation() {
+  constexpr int RANDOM_BITS = 16;
+  std::random_device device;
+  uint64_t random = device() & ((1U << RANDOM_BITS) - 1);
+  return static_cast<uint64_t>(current_time()) << RANDOM_BITS | random;
+}
+
 uint64_t random_seed() {
   std::random_device device;
   return uint64_t{device()} << 32 | device();
@@ -51,7 +59,7 @@
   entry_daemon(const settings& all, const std::string& name)
       : state_(make_entry(all,
                           name,
-                          static_cast<uint64_t>(current_time()),
+                          new_incarnation(),
                           random_seed(),
                           current_time())),
         http_(
--- a/cyclamenwood/registry.cc
+++ b/cyclamenwood/registry.cc
@@ -240,8 +240,6 @@
     const wire::vouch& vouch,
     unix_ms now) {
   known_holder& holder = all.holders[std::string(from)];
-  if (incarnation < holder.incarnation)
-    return std::nullopt;
   holder.incarnation = incarnation;
   holder.heard_ms = now;
   holder.draining = vouch.draining();
--- a/cyclamenwood/testing/bench.cc
+++ b/cyclamenwood/testing/bench.cc
@@ -84,6 +84,13 @@
     run_variant(fmt::format("6 of 51 fail, ejection up to {}%", percent),
                 {{"dispatch", {{"max_ejected_percent", percent}}}}, work,
                 fail_some);
+  workload payloads = make_work(options, 0.5);
+  payloads.failing_share = 0.05;
+  run_variant("5% of jobs fail everywhere", {}, payloads);
+  run_variant("one zone's upstreams freeze", {}, make_work(options, 0.5),
+              [](deployment& site) {
+                site.signal_process("upstreams-kranj", SIGSTOP);
+              });
 }
 
 void compare_overload(const bench_options& options) {
--- a/cyclamenwood/testing/deployment.cc
+++ b/cyclamenwood/testing/deployment.cc
@@ -299,7 +299,8 @@
   all["groups"] = groups_json();
   all["links"] = links_json();
   all["drain"] = {{"notice_ms", 300}};
-  all.merge_patch(options_.settings);
+  if (options_.settings.is_object())
+    all.merge_patch(options_.settings);
   return all;
 }
 
@@ -365,6 +366,10 @@
   killed.pid = -1;
 }
 
+pid_t deployment::pid_of(const std::string& name) const {
+  return processes_.at(name).pid;
+}
+
 int deployment::wait_for_exit(const std::string& name, int64_t limit_ms) {
   process& ending = processes_.at(name);
   int state = 0;
@@ -554,6 +559,10 @@
   return processes_.at(process).http;
 }
 
+std::string deployment::upstream_address(const std::string& id) const {
+  return upstream_addresses_.at(id);
+}
+
 std::string deployment::settings_path() const {
   return folder_ + "/settings.json";
 }
--- a/cyclamenwood/testing/deployment.h
+++ b/cyclamenwood/testing/deployment.h
@@ -103,6 +103,7 @@
   // SIGTERM; the exit code, or -1 when it did not end in time.
   int stop_process(const std::string& name, int64_t limit_ms = 20'000);
   bool is_running(const std::string& name);
+  pid_t pid_of(const std::string& name) const;
   // Exit code of a process that ended by itself, or -1.
   int wait_for_exit(const std::string& name, int64_t limit_ms = 20'000);
   std::string log_of(const std::string& name) const;
@@ -144,6 +145,7 @@
   std::vector<std::string> replicas() const;
   std::vector<std::string> upstream_ids() const;
   std::string http_address(const std::string& process) const;
+  std::string upstream_address(const std::string& id) const;
   std::string settings_path() const;
   const deployment_options& options() const { return options_; }
 
--- a/cyclamenwood/testing/open_loop.cc
+++ b/cyclamenwood/testing/open_loop.cc
@@ -21,6 +21,7 @@
 constexpr int64_t MAX_CONNECTIONS = 2000;
 constexpr long REQUEST_TIMEOUT_MS = 90'000;
 constexpr int64_t DRAIN_LIMIT_MS = 60'000;
+constexpr double WARM_UP_SHARE = 0.25;
 
 struct arrival {
   double at_ms = 0;
@@ -30,6 +31,7 @@
   int64_t patience_ms = 0;
   bool cancel = false;
   bool resubmit = false;
+  bool failing = false;
 };
 
 class generator {
@@ -53,6 +55,7 @@
     job.patience_ms = longest + (batch ? 20'000 : 2500);
     job.cancel = uniform() < work_.cancel_share;
     job.resubmit = uniform() < work_.resubmit_share;
+    job.failing = uniform() < work_.failing_share;
     return job;
   }
 
@@ -194,6 +197,8 @@
     for (int ms : job.task_ms)
       body["tasks"].push_back({{"service", site_.options().service},
                                {"payload", fmt::format("ms={}", ms)}});
+    if (job.failing)
+      body["tasks"][0]["payload"] = "mode=fail";
     return body.dump();
   }
 
@@ -265,6 +270,9 @@
     row.ratios.push_back(response_ms /
                          *std::max_element(times.begin(), times.end()));
     row.completed_tasks += static_cast<int64_t>(times.size());
+    double at_s = static_cast<double>(monotonic_us() - started_us_) / 1e6;
+    if (at_s >= work_.seconds * WARM_UP_SHARE && at_s <= work_.seconds)
+      row.steady_tasks += static_cast<int64_t>(times.size());
   }
 
   std::map<std::string, double> read_counters() {
@@ -319,7 +327,8 @@
         "goodput {:<6.0f}",
         title, name, quantile(row.ratios, 0.5), quantile(row.ratios, 0.99),
         quantile(row.ratios, 0.999),
-        static_cast<double>(row.completed_tasks) / report.seconds);
+        static_cast<double>(row.steady_tasks) / report.seconds /
+            (1 - WARM_UP_SHARE));
     for (const auto& [outcome, count] : row.outcomes)
       fmt::print(" {}={}", outcome, count);
     fmt::print("\n");
--- a/cyclamenwood/testing/open_loop.h
+++ b/cyclamenwood/testing/open_loop.h
@@ -26,6 +26,8 @@
   double cancel_share = 0;
   // Share of jobs that are submitted a second time, at another host.
   double resubmit_share = 0;
+  // Share of jobs with one task that fails at every upstream.
+  double failing_share = 0;
   // Send idempotent single requests in place of keyed jobs.
   bool idempotent = false;
 };
@@ -35,6 +37,8 @@
   std::vector<double> ratios;
   std::map<std::string, int> outcomes;
   int64_t completed_tasks = 0;
+  // Of those, completed in the last three quarters of the arrivals' time.
+  int64_t steady_tasks = 0;
 };
 
 struct load_report {
