--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	cmake --build $(BUILD)
 
 demo: build
-	$(BUILD)/cyclamenwood/testing/demo
+	$(BUILD)/tools/demo
 
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 4
--- /dev/null
+++ b/cyclamenwood/raft_internal.h
@@ -0,0 +1,64 @@
+// Functions that the files of the consensus reducer share; not part of the
+// interface.
+#ifndef CYCLAMENWOOD_RAFT_INTERNAL_H_
+#define CYCLAMENWOOD_RAFT_INTERNAL_H_
+
+#include <optional>
+#include <string_view>
+
+#include "cyclamenwood/raft.h"
+
+namespace cyclamenwood {
+
+// ---- raft_log.cc ------------------------------------------------------------
+
+uint64_t last_term(const raft_group& group);
+std::optional<uint64_t> term_at(const raft_group& group, uint64_t index);
+const wire::log_entry& entry_at(const raft_group& group, uint64_t index);
+size_t majority(const raft_group& group);
+void refresh_members(raft_group& group);
+void adopt_snapshot(raft_group& group, const wire::snapshot& snapshot);
+wire::wal_write& begin_write(raft_group& group, raft_output& out);
+wire::raft_message message_to(const raft_group& group, uint64_t to);
+void send_after_sync(raft_group& group,
+                     wire::raft_message message,
+                     raft_output& out);
+void deliver_committed(raft_group& group, uint64_t commit, raft_output& out);
+void append_entry(raft_group& group,
+                  wire::log_entry entry,
+                  wire::wal_write& record);
+
+// ---- raft_leader.cc ---------------------------------------------------------
+
+void sync_progress_with_members(raft_group& group, int64_t now);
+void advance_commit(raft_group& group, raft_output& out);
+void send_append(raft_group& group,
+                 uint64_t to,
+                 raft_progress& progress,
+                 int64_t now,
+                 raft_output& out);
+void send_new_entries(raft_group& group, int64_t now, raft_output& out);
+void send_heartbeats(raft_group& group, int64_t now, raft_output& out);
+void become_leader(raft_group& group, int64_t now, raft_output& out);
+void handle_append_reply(raft_group& group,
+                         const wire::raft_message& message,
+                         int64_t now,
+                         raft_output& out);
+void check_quorum(raft_group& group, int64_t now, raft_output& out);
+
+// ---- raft_members.cc --------------------------------------------------------
+
+void replace_members(raft_group& group, int64_t now, raft_output& out);
+
+// ---- raft.cc ----------------------------------------------------------------
+
+void reset_election_timer(raft_group& group, int64_t now);
+void become_follower(raft_group& group,
+                     uint64_t term,
+                     uint64_t leader,
+                     int64_t now,
+                     raft_output& out);
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_RAFT_INTERNAL_H_
--- /dev/null
+++ b/cyclamenwood/raft_leader.cc
@@ -0,0 +1,268 @@
+// The leader's part: replication, commit, heartbeats, quorum and handover.
+//
+// Entries are pipelined to replicas that have accepted one; after a rejection
+// or a lost acknowledgment the leader probes with one append at a time. It
+// counts its own log only up to `synced_index`, so that it can send entries
+// while its own disk still works.
+#include "cyclamenwood/raft_internal.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace cyclamenwood {
+namespace {
+
+void send_snapshot(raft_group& group,
+                   uint64_t to,
+                   raft_progress& progress,
+                   int64_t now,
+                   raft_output& out) {
+  wire::raft_message message = message_to(group, to);
+  *message.mutable_install_snapshot()->mutable_snapshot() = group.snapshot;
+  progress.resend_at_ms = now + group.options.resend_timeout_ms;
+  progress.probing = true;
+  out.messages.push_back(std::move(message));
+}
+
+bool has_room(const raft_group& group, const raft_progress& progress) {
+  return progress.next - progress.match <= group.options.max_entries_in_flight;
+}
+
+// Keeps contact. It goes by an index that is known to match, so that it also
+// tells the commit index, or else by the snapshot's.
+void send_heartbeat(raft_group& group,
+                    uint64_t to,
+                    const raft_progress& progress,
+                    raft_output& out) {
+  uint64_t previous =
+      term_at(group, progress.match) ? progress.match : group.snapshot.index();
+  wire::raft_message message = message_to(group, to);
+  wire::append_request& request = *message.mutable_append_request();
+  request.set_previous_index(previous);
+  request.set_previous_term(*term_at(group, previous));
+  request.set_commit_index(group.commit_index);
+  request.set_heartbeat(true);
+  out.messages.push_back(std::move(message));
+}
+
+}  // namespace
+
+void sync_progress_with_members(raft_group& group, int64_t now) {
+  for (const wire::member& voter : group.members.voters()) {
+    auto [found, added] = group.progress.try_emplace(voter.identity());
+    raft_progress& progress = found->second;
+    progress.host = voter.host();
+    progress.learner = false;
+    if (added) {
+      progress.next = raft_last_index(group) + 1;
+      progress.last_heard_ms = now;
+    }
+  }
+  std::erase_if(group.progress, [&](const auto& item) {
+    return !item.second.learner && !raft_is_voter(group, item.first);
+  });
+}
+
+// Commits what a majority of the voters has synced.
+void advance_commit(raft_group& group, raft_output& out) {
+  std::vector<uint64_t> matches;
+  for (const wire::member& voter : group.members.voters()) {
+    if (voter.identity() == group.self.identity())
+      matches.push_back(group.synced_index);
+    else if (auto found = group.progress.find(voter.identity());
+             found != group.progress.end())
+      matches.push_back(found->second.match);
+    else
+      matches.push_back(0);
+  }
+  if (matches.empty())
+    return;
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  uint64_t candidate = matches[majority(group) - 1];
+  if (candidate < group.term_start_index)
+    return;
+  deliver_committed(group, std::max(candidate, group.commit_index), out);
+}
+
+// Sends the entries from `progress.next` on.
+void send_append(raft_group& group,
+                 uint64_t to,
+                 raft_progress& progress,
+                 int64_t now,
+                 raft_output& out) {
+  uint64_t previous = progress.next - 1;
+  std::optional<uint64_t> previous_term = term_at(group, previous);
+  if (!previous_term) {
+    send_snapshot(group, to, progress, now, out);
+    return;
+  }
+  wire::raft_message message = message_to(group, to);
+  wire::append_request& request = *message.mutable_append_request();
+  request.set_previous_index(previous);
+  request.set_previous_term(*previous_term);
+  request.set_commit_index(group.commit_index);
+  uint64_t end = std::min<uint64_t>(
+      raft_last_index(group), previous + group.options.max_entries_a_message);
+  for (uint64_t index = progress.next; index <= end; ++index)
+    *request.add_entries() = entry_at(group, index);
+  if (request.entries_size() > 0)
+    progress.resend_at_ms = now + group.options.resend_timeout_ms;
+  if (!progress.probing)
+    progress.next = end + 1;
+  out.messages.push_back(std::move(message));
+}
+
+void send_new_entries(raft_group& group, int64_t now, raft_output& out) {
+  for (auto& [identity, progress] : group.progress) {
+    if (identity == group.self.identity())
+      continue;
+    // Sending a snapshot turns to probing.
+    while (!progress.probing && progress.next <= raft_last_index(group) &&
+           has_room(group, progress))
+      send_append(group, identity, progress, now, out);
+  }
+}
+
+void send_heartbeats(raft_group& group, int64_t now, raft_output& out) {
+  group.heartbeat_at_ms = now + group.options.heartbeat_interval_ms;
+  for (auto& [identity, progress] : group.progress) {
+    if (identity == group.self.identity())
+      continue;
+    bool unanswered =
+        progress.match < raft_last_index(group) && now >= progress.resend_at_ms;
+    if (!unanswered) {
+      send_heartbeat(group, identity, progress, out);
+      continue;
+    }
+    progress.probing = true;
+    progress.next = progress.match + 1;
+    send_append(group, identity, progress, now, out);
+  }
+}
+
+void become_leader(raft_group& group, int64_t now, raft_output& out) {
+  group.role = raft_role::leader;
+  group.leader = group.self.identity();
+  group.progress.clear();
+  sync_progress_with_members(group, now);
+  group.quorum_check_at_ms = now + group.options.election_timeout_ms;
+  group.term_start_index = raft_last_index(group) + 1;
+  wire::command noop;
+  noop.set_stamp_ms(now);
+  noop.set_noop(true);
+  raft_propose(group, noop, now, out);
+  for (auto& [identity, progress] : group.progress) {
+    if (identity == group.self.identity())
+      continue;
+    progress.next = raft_last_index(group);
+    send_append(group, identity, progress, now, out);
+  }
+  group.heartbeat_at_ms = now + group.options.heartbeat_interval_ms;
+}
+
+void handle_append_reply(raft_group& group,
+                         const wire::raft_message& message,
+                         int64_t now,
+                         raft_output& out) {
+  if (message.term() > group.term) {
+    become_follower(group, message.term(), 0, now, out);
+    return;
+  }
+  auto found = group.progress.find(message.from());
+  if (group.role != raft_role::leader || message.term() != group.term ||
+      found == group.progress.end())
+    return;
+  raft_progress& progress = found->second;
+  const wire::append_reply& reply = message.append_reply();
+  progress.last_heard_ms = now;
+  if (reply.heartbeat())
+    return;
+  if (!reply.accepted()) {
+    progress.probing = true;
+    progress.next = std::max(progress.match + 1, reply.index() + 1);
+    progress.next = std::min(progress.next, raft_last_index(group) + 1);
+    send_append(group, message.from(), progress, now, out);
+    return;
+  }
+  progress.match = std::max(progress.match, reply.index());
+  progress.next = std::max(progress.next, progress.match + 1);
+  if (progress.probing) {
+    progress.probing = false;
+    progress.next = progress.match + 1;
+  }
+  if (progress.match < raft_last_index(group))
+    progress.resend_at_ms = now + group.options.resend_timeout_ms;
+  advance_commit(group, out);
+  if (group.handover_target == message.from() &&
+      progress.match == raft_last_index(group)) {
+    wire::raft_message handover = message_to(group, message.from());
+    handover.mutable_handover_request();
+    out.messages.push_back(std::move(handover));
+  }
+  send_new_entries(group, now, out);
+}
+
+void check_quorum(raft_group& group, int64_t now, raft_output& out) {
+  group.quorum_check_at_ms = now + group.options.election_timeout_ms;
+  size_t heard = 0;
+  for (const wire::member& voter : group.members.voters()) {
+    if (voter.identity() == group.self.identity()) {
+      ++heard;
+      continue;
+    }
+    auto found = group.progress.find(voter.identity());
+    if (found != group.progress.end() &&
+        now - found->second.last_heard_ms <= group.options.election_timeout_ms)
+      ++heard;
+  }
+  if (heard < majority(group))
+    become_follower(group, group.term, 0, now, out);
+}
+
+std::optional<uint64_t> raft_propose(raft_group& group,
+                                     wire::command command,
+                                     int64_t now,
+                                     raft_output& out) {
+  if (group.role != raft_role::leader || group.handover_target != 0)
+    return std::nullopt;
+  wire::log_entry entry;
+  entry.set_index(raft_last_index(group) + 1);
+  entry.set_term(group.term);
+  *entry.mutable_command() = std::move(command);
+  uint64_t index = entry.index();
+  append_entry(group, std::move(entry), begin_write(group, out));
+  send_new_entries(group, now, out);
+  return index;
+}
+
+bool raft_hand_over(raft_group& group, int64_t now, raft_output& out) {
+  if (group.role != raft_role::leader)
+    return false;
+  uint64_t best = 0;
+  uint64_t best_match = 0;
+  for (const auto& [identity, progress] : group.progress) {
+    bool recent =
+        now - progress.last_heard_ms <= 2 * group.options.heartbeat_interval_ms;
+    if (identity == group.self.identity() || progress.learner || !recent)
+      continue;
+    if (best == 0 || progress.match > best_match) {
+      best = identity;
+      best_match = progress.match;
+    }
+  }
+  if (best == 0)
+    return false;
+  group.handover_target = best;
+  group.handover_until_ms = now + group.options.election_timeout_ms;
+  raft_progress& progress = group.progress[best];
+  send_append(group, best, progress, now, out);
+  return true;
+}
+
+bool raft_leader_ready(const raft_group& group) {
+  return group.role == raft_role::leader &&
+         group.commit_index >= group.term_start_index;
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/raft_log.cc
@@ -0,0 +1,183 @@
+// The log of one replica: entries, snapshot and membership, and the rule that
+// what promises something about a write waits until the write is synced.
+//
+// Whatever changes the term, the vote or the log goes through
+// `begin_write()`, which marks the group as having unsynced writes. Messages
+// that rest on those writes go through `send_after_sync()` and wait in
+// `held_messages` until `raft_synced()`.
+#include "cyclamenwood/raft_internal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenwood {
+namespace {
+
+// The membership that the log up to `index` puts in force.
+std::pair<uint64_t, const wire::membership*> membership_at(
+    const raft_group& group,
+    uint64_t index) {
+  for (auto entry = group.log.rbegin(); entry != group.log.rend(); ++entry) {
+    if (entry->index() <= index && entry->command().has_members())
+      return {entry->index(), &entry->command().members()};
+  }
+  if (group.snapshot.index() > 0)
+    return {group.snapshot.index(), &group.snapshot.members()};
+  return {0, &group.initial_members};
+}
+
+}  // namespace
+
+uint64_t last_term(const raft_group& group) {
+  return group.log.empty() ? group.snapshot.term() : group.log.back().term();
+}
+
+std::optional<uint64_t> term_at(const raft_group& group, uint64_t index) {
+  if (index == group.snapshot.index())
+    return group.snapshot.term();
+  if (index < group.snapshot.index() || index > raft_last_index(group))
+    return std::nullopt;
+  return group.log[index - group.snapshot.index() - 1].term();
+}
+
+const wire::log_entry& entry_at(const raft_group& group, uint64_t index) {
+  return group.log[index - group.snapshot.index() - 1];
+}
+
+size_t majority(const raft_group& group) {
+  return group.members.voters_size() / 2 + 1;
+}
+
+void refresh_members(raft_group& group) {
+  auto [index, members] = membership_at(group, raft_last_index(group));
+  group.members = *members;
+  group.members_index = index;
+}
+
+// Puts a snapshot in place of the log up to its index. A tail that continues
+// the snapshot is kept: its entries may have been acknowledged.
+void adopt_snapshot(raft_group& group, const wire::snapshot& snapshot) {
+  bool continues = term_at(group, snapshot.index()) == snapshot.term();
+  if (!continues)
+    group.log.clear();
+  while (!group.log.empty() && group.log.front().index() <= snapshot.index())
+    group.log.pop_front();
+  group.snapshot = snapshot;
+  refresh_members(group);
+}
+
+wire::wal_write& begin_write(raft_group& group, raft_output& out) {
+  group.unsynced_writes = true;
+  wire::wal_write& result = out.writes.emplace_back();
+  result.set_group(group.name);
+  result.set_term(group.term);
+  result.set_voted_for(group.voted_for);
+  return result;
+}
+
+wire::raft_message message_to(const raft_group& group, uint64_t to) {
+  wire::raft_message message;
+  message.set_group(group.name);
+  message.set_from(group.self.identity());
+  message.set_to(to);
+  message.set_term(group.term);
+  return message;
+}
+
+// Sends a message whose truth depends on writes that may not be synced yet.
+void send_after_sync(raft_group& group,
+                     wire::raft_message message,
+                     raft_output& out) {
+  if (group.unsynced_writes)
+    group.held_messages.push_back(std::move(message));
+  else
+    out.messages.push_back(std::move(message));
+}
+
+void deliver_committed(raft_group& group, uint64_t commit, raft_output& out) {
+  while (group.commit_index < commit) {
+    ++group.commit_index;
+    out.committed.push_back(entry_at(group, group.commit_index));
+  }
+}
+
+void append_entry(raft_group& group,
+                  wire::log_entry entry,
+                  wire::wal_write& record) {
+  *record.add_entries() = entry;
+  bool changes_members = entry.command().has_members();
+  group.log.push_back(std::move(entry));
+  if (changes_members)
+    refresh_members(group);
+}
+
+void raft_replay(raft_group& group, const wire::wal_write& write) {
+  group.term = write.term();
+  group.voted_for = write.voted_for();
+  if (write.has_initial_members())
+    group.initial_members = write.initial_members();
+  if (write.has_snapshot())
+    adopt_snapshot(group, write.snapshot());
+  uint64_t truncate_from = write.truncate_from();
+  if (truncate_from > group.snapshot.index() &&
+      truncate_from <= raft_last_index(group))
+    group.log.resize(truncate_from - group.snapshot.index() - 1);
+  for (const wire::log_entry& entry : write.entries()) {
+    if (entry.index() == raft_last_index(group) + 1)
+      group.log.push_back(entry);
+  }
+  refresh_members(group);
+}
+
+void raft_replay_done(raft_group& group, int64_t now) {
+  group.synced_index = raft_last_index(group);
+  group.commit_index = group.snapshot.index();
+  reset_election_timer(group, now);
+}
+
+void raft_write_initial_members(raft_group& group, raft_output& out) {
+  *begin_write(group, out).mutable_initial_members() = group.initial_members;
+}
+
+void raft_compact(raft_group& group,
+                  uint64_t index,
+                  std::string data,
+                  raft_output& out) {
+  if (index <= group.snapshot.index() || index > group.commit_index)
+    return;
+  wire::snapshot snapshot;
+  snapshot.set_index(index);
+  snapshot.set_term(*term_at(group, index));
+  snapshot.set_data(std::move(data));
+  // The membership as of `index`, which may be older than the one in force.
+  *snapshot.mutable_members() = *membership_at(group, index).second;
+  adopt_snapshot(group, snapshot);
+  *begin_write(group, out).mutable_snapshot() = group.snapshot;
+}
+
+wire::wal_write raft_dump(const raft_group& group) {
+  wire::wal_write dump;
+  dump.set_group(group.name);
+  dump.set_term(group.term);
+  dump.set_voted_for(group.voted_for);
+  *dump.mutable_initial_members() = group.initial_members;
+  if (group.snapshot.index() > 0)
+    *dump.mutable_snapshot() = group.snapshot;
+  for (const wire::log_entry& entry : group.log)
+    *dump.add_entries() = entry;
+  return dump;
+}
+
+uint64_t raft_last_index(const raft_group& group) {
+  return group.log.empty() ? group.snapshot.index() : group.log.back().index();
+}
+
+bool raft_is_voter(const raft_group& group, uint64_t identity) {
+  return std::any_of(group.members.voters().begin(),
+                     group.members.voters().end(),
+                     [identity](const wire::member& voter) {
+                       return voter.identity() == identity;
+                     });
+}
+
+}  // namespace cyclamenwood
--- a/cyclamenwood/testing/deployment.cc
+++ b/cyclamenwood/testing/deployment.cc
@@ -49,7 +49,8 @@
   std::filesystem::path here = program_folder();
   for (const auto& folder :
        {here, here.parent_path(), here.parent_path().parent_path(),
-        here / "cyclamenwood/testing"}) {
+        here / "cyclamenwood/testing",
+        here.parent_path() / "cyclamenwood/testing"}) {
     if (std::filesystem::exists(folder / name))
       return (folder / name).string();
   }
--- a/cyclamenwood/testing/bench.cc
+++ b/tools/bench.cc
@@ -9,7 +9,7 @@
 
 #include "cyclamenwood/loop.h"
 #include "cyclamenwood/testing/deployment.h"
-#include "cyclamenwood/testing/open_loop.h"
+#include "tools/open_loop.h"
 
 namespace cyclamenwood {
 namespace {
--- a/cyclamenwood/testing/capacity.cc
+++ b/tools/capacity.cc
@@ -19,7 +19,7 @@
 #include "cyclamenwood/registry.h"
 #include "cyclamenwood/router.h"
 #include "cyclamenwood/testing/deployment.h"
-#include "cyclamenwood/testing/open_loop.h"
+#include "tools/open_loop.h"
 
 namespace cyclamenwood {
 namespace {
--- a/cyclamenwood/testing/open_loop.cc
+++ b/tools/open_loop.cc
@@ -1,6 +1,6 @@
 // All arrivals are drawn from the seed before the run starts; one thread with
 // libcurl's multi interface sends them at their times.
-#include "cyclamenwood/testing/open_loop.h"
+#include "tools/open_loop.h"
 
 #include <curl/curl.h>
 #include <fmt/format.h>
--- a/cyclamenwood/testing/open_loop.h
+++ b/tools/open_loop.h
@@ -1,7 +1,7 @@
 // An open-loop load: jobs arrive at times drawn beforehand, whether or not
 // earlier ones are answered.
-#ifndef CYCLAMENWOOD_TESTING_OPEN_LOOP_H_
-#define CYCLAMENWOOD_TESTING_OPEN_LOOP_H_
+#ifndef TOOLS_OPEN_LOOP_H_
+#define TOOLS_OPEN_LOOP_H_
 
 #include <cstdint>
 #include <map>
@@ -64,4 +64,4 @@
 
 }  // namespace cyclamenwood
 
-#endif  // CYCLAMENWOOD_TESTING_OPEN_LOOP_H_
+#endif  // TOOLS_OPEN_LOOP_H_
