Choice of an upstream: keep the view of a zone for a tick, draw a few

Cause: each choice walked all upstreams of the zone (capacity core: 47 us at 300 upstreams, 129 us at 600, 284 us at 1200), and a saturated host did so again on every event. Ruled out: the registry's maps (renewal 1.4 us at all three sizes). Change: usable upstreams of a service and zone are listed once a tick or when the registry changed; up to five are drawn and the less loaded of the first two free ones is taken; all are looked at only when none of them is free. A service without a free upstream is not tried again until something may have changed.

--- a/cyclamenwood/dispatch.cc
+++ b/cyclamenwood/dispatch.cc
@@ -163,8 +163,10 @@
   size_t task = *owned.waiting.at(service).begin();
   const known_upstream* upstream =
       choose_upstream(r.state, service, owned.tasks[task].tried, r.now);
-  if (upstream == nullptr)
+  if (upstream == nullptr) {
+    load.blocked = true;
     return false;
+  }
   auto weight = [](const auto& policies, std::string_view name) {
     auto policy = policies.find(name);
     return policy == policies.end()
@@ -286,6 +288,7 @@
   auto health = r.state.health.upstreams.find(attempt.upstream_id);
   if (health != r.state.health.upstreams.end() && health->second.running > 0)
     --health->second.running;
+  unblock(r.state);
 }
 
 void end_attempt(reduction& r,
@@ -359,12 +362,17 @@
   }
 }
 
+void unblock(entry_state& state) {
+  for (auto& [service, load] : state.services)
+    load.blocked = false;
+}
+
 void dispatch(reduction& r) {
   if (!r.state.config.in_force)
     return;
   std::vector<std::string> services;
   for (const auto& [service, load] : r.state.services) {
-    if (load.queued > 0)
+    if (load.queued > 0 && !load.blocked)
       services.push_back(service);
   }
   for (const std::string& service : services) {
--- a/cyclamenwood/entry.cc
+++ b/cyclamenwood/entry.cc
@@ -105,8 +105,10 @@
                       r.state.all.membership.upstream_lease_ms,
                       r.state.draining, taken == announce_result::outdated,
                       version_in_force(r.state))});
-  if (taken == announce_result::changed)
+  if (taken == announce_result::changed) {
+    unblock(r.state);
     dispatch(r);
+  }
 }
 
 // ---- Drain ----------------------------------------------------------------
@@ -168,6 +170,7 @@
   expire_jobs(r);
   time_out_attempts(r);
   forget_finished(r);
+  unblock(r.state);
   dispatch(r);
   advance_drain(r);
 }
@@ -215,6 +218,7 @@
     case wire::envelope::kUpstreamDelta:
       registry_receive_delta(r.state.upstreams, envelope.from(),
                              envelope.upstream_delta(), r.now);
+      unblock(r.state);
       dispatch(r);
       break;
     case wire::envelope::kVouch:
--- a/cyclamenwood/entry.h
+++ b/cyclamenwood/entry.h
@@ -293,10 +293,25 @@
   fair_queue queue;
   int64_t queued = 0;
   int64_t running = 0;
+  // No upstream was free at the last attempt; reset by whatever may free one.
+  bool blocked = false;
   // Sum of the queued tasks' estimates, by class.
   std::map<std::string, double, std::less<>> queued_cost_ms;
 };
 
+// The usable upstreams of one service and zone, kept for a moment, and the
+// load that the zone's other entry hosts vouched for.
+struct zone_view {
+  uint64_t revision = 0;
+  unix_ms stale_at_ms = 0;
+  std::vector<std::string> usable;
+  int64_t slots = 0;
+  // Entry hosts in the zone that are alive, this one not counted.
+  int64_t other_hosts = 0;
+  // Their demand.
+  double other_demand = 0;
+};
+
 struct entry_state {
   std::string host;
   std::string zone;
@@ -312,6 +327,8 @@
   config_follower config;
   registry upstreams;
   health_table health;
+  // By service and zone.
+  std::map<std::pair<std::string, std::string>, zone_view> zone_views;
 
   std::map<uint64_t, job> jobs;
   std::map<job_id, uint64_t> job_by_id;
--- a/cyclamenwood/entry_internal.h
+++ b/cyclamenwood/entry_internal.h
@@ -69,6 +69,8 @@
 // Removes waiting tasks from the queues and cancels running attempts.
 void withdraw_tasks(reduction& r, job& ended);
 void dispatch(reduction& r);
+// Some upstream may have become free: queued work is looked at again.
+void unblock(entry_state& state);
 void task_ended(reduction& r, const entry_task_ended& event);
 void time_out_attempts(reduction& r);
 double estimate_ms(const entry_state& state,
--- a/cyclamenwood/jobs.cc
+++ b/cyclamenwood/jobs.cc
@@ -116,7 +116,7 @@
 
 // The queued work of the class and its own share of the rest must fit before
 // the deadline; otherwise the job would only be refused later.
-std::optional<error> check_reachable(const entry_state& state,
+std::optional<error> check_reachable(entry_state& state,
                                      const submission& request,
                                      unix_ms now) {
   std::map<std::string_view, int64_t> tasks;
@@ -148,7 +148,7 @@
 }
 
 // Why a submission cannot be taken now.
-std::optional<error> check_admission(const entry_state& state,
+std::optional<error> check_admission(entry_state& state,
                                      const submission& request,
                                      unix_ms now) {
   if (state.refusing)
--- a/cyclamenwood/registry.cc
+++ b/cyclamenwood/registry.cc
@@ -62,6 +62,7 @@
 }
 
 void forget(registry& all, const std::string& id) {
+  ++all.revision;
   auto found = all.upstreams.find(id);
   if (found == all.upstreams.end())
     return;
@@ -74,6 +75,7 @@
 
 void set_view(registry& all, const std::string& id, known_upstream view) {
   forget(all, id);
+  ++all.revision;
   all.by_service[view.record.service()].insert(id);
   all.upstreams[id] = std::move(view);
 }
@@ -100,10 +102,19 @@
   if (best == nullptr || outdated) {
     if (!remembered || known->second.expired)
       return;
+    ++all.revision;
     known->second.expired = true;
     known->second.forget_at_ms = now + FORGET_AFTER_MS;
     return;
   }
+  bool renewal = remembered && !known->second.expired &&
+                 known->second.holder == holder &&
+                 same_facts(known->second.record, best->record);
+  if (renewal) {
+    known->second.record = best->record;
+    known->second.lease_until_ms = best->lease_until_ms;
+    return;
+  }
   known_upstream view;
   view.record = best->record;
   view.holder = holder;
--- a/cyclamenwood/registry.h
+++ b/cyclamenwood/registry.h
@@ -79,6 +79,8 @@
   std::map<std::string, std::set<std::string>, std::less<>> by_service;
   // Own changes that the other entry hosts have not been told.
   wire::upstream_delta outgoing;
+  // Grows with every change of `upstreams`.
+  uint64_t revision = 0;
   unix_ms vouch_at_ms = 0;
 };
 
--- a/cyclamenwood/router.cc
+++ b/cyclamenwood/router.cc
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <vector>
 
 namespace cyclamenwood {
@@ -17,27 +18,20 @@
 
 // Of another zone's upstream, this share of slots is left to its own zone.
 constexpr double SPILL_RESERVE = 0.25;
-
-// The load on one zone's upstreams of a service.
-struct zone_view {
-  std::vector<const known_upstream*> usable;
-  int64_t slots = 0;
-  // Entry hosts in the zone that are alive, this one not counted.
-  int64_t other_hosts = 0;
-  // Their demand.
-  double other_demand = 0;
-};
+constexpr int MAX_DRAWS = 5;
 
 std::string_view zone_of_host(const entry_state& state, std::string_view host) {
   const entry_host_settings* found = find_entry_host(state.all, host);
   return found == nullptr ? std::string_view() : found->zone;
 }
 
-zone_view view_zone(const entry_state& state,
+zone_view make_view(const entry_state& state,
                     std::string_view service,
                     std::string_view zone,
                     unix_ms now) {
   zone_view view;
+  view.revision = state.upstreams.revision;
+  view.stale_at_ms = now + TICK_INTERVAL_MS;
   auto ids = state.upstreams.by_service.find(service);
   if (ids == state.upstreams.by_service.end())
     return view;
@@ -46,7 +40,7 @@
     if (upstream.record.zone() != zone ||
         !registry_usable(state.upstreams, upstream, now))
       continue;
-    view.usable.push_back(&upstream);
+    view.usable.push_back(id);
     view.slots += upstream.record.slots();
   }
   for (const auto& [host, holder] : state.upstreams.holders) {
@@ -62,6 +56,17 @@
   return view;
 }
 
+// The view is made anew when the registry changed, and at least once a tick.
+const zone_view& view_zone(entry_state& state,
+                           std::string_view service,
+                           std::string_view zone,
+                           unix_ms now) {
+  zone_view& view = state.zone_views[{std::string(service), std::string(zone)}];
+  if (now >= view.stale_at_ms || view.revision != state.upstreams.revision)
+    view = make_view(state, service, zone, now);
+  return view;
+}
+
 // How many tasks this entry host may run on the upstream at a time.
 double slot_limit(const entry_state& state,
                   const known_upstream& upstream,
@@ -82,40 +87,50 @@
   return std::ceil(std::max(0.0, spare) / std::max(1.0, outsiders));
 }
 
+// An upstream with a free slot, and how full it is.
 struct candidate {
   const known_upstream* upstream = nullptr;
   double load = 0;
 };
 
-std::vector<candidate> free_candidates(entry_state& state,
-                                       const zone_view& view,
-                                       const std::set<std::string>& avoided,
-                                       unix_ms now) {
-  std::vector<candidate> free;
-  for (const known_upstream* upstream : view.usable) {
-    const wire::upstream& record = upstream->record;
-    if (avoided.contains(record.id()))
-      continue;
-    const upstream_health& health =
-        health_of(state.health, record.id(), record.service(), record.zone(),
-                  record.incarnation());
-    double limit = slot_limit(state, *upstream, view);
-    if (health_allows(health, now) && health.running < limit)
-      free.push_back({upstream, health.running / limit});
-  }
-  return free;
+std::optional<candidate> check_free(entry_state& state,
+                                    const zone_view& view,
+                                    const std::string& id,
+                                    const std::set<std::string>& avoided,
+                                    unix_ms now) {
+  auto found = state.upstreams.upstreams.find(id);
+  if (found == state.upstreams.upstreams.end() || avoided.contains(id))
+    return std::nullopt;
+  const wire::upstream& record = found->second.record;
+  const upstream_health& health = health_of(
+      state.health, id, record.service(), record.zone(), record.incarnation());
+  double limit = slot_limit(state, found->second, view);
+  if (!health_allows(health, now) ||
+      static_cast<double>(health.running) >= limit)
+    return std::nullopt;
+  return candidate{&found->second, static_cast<double>(health.running) / limit};
 }
 
-const known_upstream* pick(entry_state& state,
-                           const std::vector<candidate>& free) {
-  if (free.empty())
-    return nullptr;
-  std::uniform_int_distribution<size_t> any(0, free.size() - 1);
-  const candidate& first = free[any(state.random)];
-  if (state.all.dispatch.slots == slot_policy::random)
-    return first.upstream;
-  const candidate& second = free[any(state.random)];
-  return second.load < first.load ? second.upstream : first.upstream;
+// Draws a few upstreams and takes the less loaded of the first two that are
+// free.
+std::optional<candidate> draw(entry_state& state,
+                              const zone_view& view,
+                              const std::set<std::string>& avoided,
+                              unix_ms now) {
+  std::uniform_int_distribution<size_t> any(0, view.usable.size() - 1);
+  std::optional<candidate> first;
+  for (int i = 0; i < MAX_DRAWS; ++i) {
+    std::optional<candidate> drawn =
+        check_free(state, view, view.usable[any(state.random)], avoided, now);
+    if (!drawn)
+      continue;
+    if (first)
+      return drawn->load < first->load ? drawn : first;
+    first = drawn;
+    if (state.all.dispatch.slots == slot_policy::random)
+      break;
+  }
+  return first;
 }
 
 const known_upstream* choose_in_zone(entry_state& state,
@@ -123,8 +138,21 @@
                                      std::string_view zone,
                                      const std::set<std::string>& avoided,
                                      unix_ms now) {
-  zone_view view = view_zone(state, service, zone, now);
-  return pick(state, free_candidates(state, view, avoided, now));
+  const zone_view& view = view_zone(state, service, zone, now);
+  if (view.usable.empty())
+    return nullptr;
+  if (std::optional<candidate> drawn = draw(state, view, avoided, now))
+    return drawn->upstream;
+  // Nearly full: look at all, from a random place on.
+  size_t count = view.usable.size();
+  size_t start = state.random() % count;
+  for (size_t i = 0; i < count; ++i) {
+    std::optional<candidate> free =
+        check_free(state, view, view.usable[(start + i) % count], avoided, now);
+    if (free)
+      return free->upstream;
+  }
+  return nullptr;
 }
 
 }  // namespace
@@ -152,27 +180,27 @@
   return choose_upstream(state, service, {}, now);
 }
 
-double expected_slots(const entry_state& state,
+double expected_slots(entry_state& state,
                       std::string_view service,
                       unix_ms now) {
-  zone_view own = view_zone(state, service, state.zone, now);
-  double slots = 0;
-  for (const known_upstream* upstream : own.usable) {
-    auto health = state.health.upstreams.find(upstream->record.id());
-    bool ejected = health != state.health.upstreams.end() &&
-                   health->second.ejected_until_ms > now;
-    if (!ejected)
-      slots += slot_limit(state, *upstream, own);
-  }
+  auto sum = [&](const std::string& zone) {
+    const zone_view& view = view_zone(state, service, zone, now);
+    double slots = 0;
+    for (const std::string& id : view.usable) {
+      auto health = state.health.upstreams.find(id);
+      bool ejected = health != state.health.upstreams.end() &&
+                     health->second.ejected_until_ms > now;
+      auto found = state.upstreams.upstreams.find(id);
+      if (!ejected && found != state.upstreams.upstreams.end())
+        slots += slot_limit(state, found->second, view);
+    }
+    return slots;
+  };
+  double slots = sum(state.zone);
   if (slots > 0)
     return slots;
-  for (const std::string& zone : state.all.zones) {
-    if (zone == state.zone)
-      continue;
-    zone_view view = view_zone(state, service, zone, now);
-    for (const known_upstream* upstream : view.usable)
-      slots += slot_limit(state, *upstream, view);
-  }
+  for (const std::string& zone : state.all.zones)
+    slots += zone == state.zone ? 0 : sum(zone);
   return slots;
 }
 
--- a/cyclamenwood/router.h
+++ b/cyclamenwood/router.h
@@ -23,7 +23,7 @@
                                       unix_ms now);
 
 // Slots of healthy upstreams that this entry host may expect to use.
-double expected_slots(const entry_state& state,
+double expected_slots(entry_state& state,
                       std::string_view service,
                       unix_ms now);
 
