--- a/tools/capacity.cc
+++ b/tools/capacity.cc
@@ -3,6 +3,7 @@
 //   idle      an idle deployment: CPU, memory, bytes and messages a daemon,
 //             by upstreams known and by entry hosts
 //   tasks     CPU of the entry hosts a task start, of the replicas a claim
+//   claims    the same with one claim a task
 //   core      time and memory of the reducers alone, by upstreams and records
 #include <fmt/format.h>
 #include <malloc.h>
@@ -152,7 +153,7 @@
   }
 }
 
-void measure_tasks() {
+void measure_tasks(bool one_task) {
   for (double load : {0.2, 0.4, 0.8}) {
     deployment site({.upstreams_a_zone = 20, .proxy_links = false});
     site.start();
@@ -162,6 +163,7 @@
     auto replicas = read_all(site, site.replicas());
     workload work;
     work.load = load;
+    work.one_task = one_task;
     work.seconds = LOAD_SECONDS;
     load_report report = run_load(site, work);
     usage entry = mean_difference(entries, read_all(site, site.entry_hosts()));
@@ -267,7 +269,9 @@
   if (part == "idle")
     measure_idle();
   else if (part == "tasks")
-    measure_tasks();
+    measure_tasks(false);
+  else if (part == "claims")
+    measure_tasks(true);
   else if (part == "core")
     measure_core();
   else
--- a/tools/open_loop.cc
+++ b/tools/open_loop.cc
@@ -41,13 +41,14 @@
   arrival next(double at_ms) {
     arrival job;
     job.at_ms = at_ms;
-    bool batch = uniform() < work_.batch_share && !work_.idempotent;
+    bool single = work_.idempotent || work_.one_task;
+    bool batch = uniform() < work_.batch_share && !single;
     job.class_name = batch ? "batch" : "interactive";
     job.tenant = uniform() < 0.7 ? "zupancic" : "guest";
     int tasks = batch ? 10 + below(50) : 1 + below(6);
     if (batch && below(200) == 0)
       tasks = 450;
-    if (work_.idempotent)
+    if (single)
       tasks = 1;
     for (int i = 0; i < tasks; ++i)
       job.task_ms.push_back(task_time());
@@ -82,7 +83,7 @@
 };
 
 double mean_tasks(const workload& work) {
-  if (work.idempotent)
+  if (work.idempotent || work.one_task)
     return 1;
   double batch = 34.5 + 450.0 / 200;
   return work.batch_share * batch + (1 - work.batch_share) * 3.5;
--- a/tools/open_loop.h
+++ b/tools/open_loop.h
@@ -28,6 +28,8 @@
   double resubmit_share = 0;
   // Share of jobs with one task that fails at every upstream.
   double failing_share = 0;
+  // Interactive jobs of one task only.
+  bool one_task = false;
   // Send idempotent single requests in place of keyed jobs.
   bool idempotent = false;
 };
