--- a/cyclamenwood/raft.cc
+++ b/cyclamenwood/raft.cc
@@ -346,6 +346,7 @@
   }
   if (group.role == raft_role::leader && !group.unsynced_writes)
     advance_commit(group, out);
+  raft_flush(group, now, out);
 }
 
 std::string raft_leader_host(const raft_group& group) {
--- a/cyclamenwood/raft.h
+++ b/cyclamenwood/raft.h
@@ -12,7 +12,8 @@
 //   raft_output out;
 //   raft_tick(group, now, out);           // timers
 //   raft_receive(group, message, now, out);
-//   raft_propose(group, command, now, out);
+//   raft_propose(group, command, out);    // as often as wanted, then
+//   raft_flush(group, now, out);
 //   ... write out.writes, sync, then:
 //   raft_synced(group, now, out);
 //   ... send out.messages, apply out.committed in order.
@@ -161,12 +162,17 @@
                   raft_output& out);
 
 // Appends a command when this replica leads; returns its index and, once
-// committed there in the same term, it is never lost.
+// committed there in the same term, it is never lost. The other replicas get
+// it by the next raft_flush or raft_synced, so that commands proposed together
+// travel together.
 std::optional<uint64_t> raft_propose(raft_group& group,
                                      wire::command command,
-                                     int64_t now,
                                      raft_output& out);
 
+// Sends what was proposed since the last time; to be called before the sync,
+// so that the other disks work at the same time.
+void raft_flush(raft_group& group, int64_t now, raft_output& out);
+
 // All writes returned so far are on disk.
 void raft_synced(raft_group& group, int64_t now, raft_output& out);
 
--- a/cyclamenwood/raft_leader.cc
+++ b/cyclamenwood/raft_leader.cc
@@ -151,7 +151,7 @@
   wire::command noop;
   noop.set_stamp_ms(now);
   noop.set_noop(true);
-  raft_propose(group, noop, now, out);
+  raft_propose(group, noop, out);
   for (auto& [identity, progress] : group.progress) {
     if (identity == group.self.identity())
       continue;
@@ -220,9 +220,13 @@
     become_follower(group, group.term, 0, now, out);
 }
 
+void raft_flush(raft_group& group, int64_t now, raft_output& out) {
+  if (group.role == raft_role::leader)
+    send_new_entries(group, now, out);
+}
+
 std::optional<uint64_t> raft_propose(raft_group& group,
                                      wire::command command,
-                                     int64_t now,
                                      raft_output& out) {
   if (group.role != raft_role::leader || group.handover_target != 0)
     return std::nullopt;
@@ -232,7 +236,6 @@
   *entry.mutable_command() = std::move(command);
   uint64_t index = entry.index();
   append_entry(group, std::move(entry), begin_write(group, out));
-  send_new_entries(group, now, out);
   return index;
 }
 
--- a/cyclamenwood/raft_members.cc
+++ b/cyclamenwood/raft_members.cc
@@ -33,7 +33,7 @@
   wire::command command;
   command.set_stamp_ms(now);
   *command.mutable_members() = std::move(members);
-  raft_propose(group, command, now, out);
+  raft_propose(group, command, out);
   sync_progress_with_members(group, now);
 }
 
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -334,7 +334,7 @@
   *command.mutable_claim() = request.claim();
   raft_output result;
   std::optional<uint64_t> index =
-      raft_propose(group->raft, std::move(command), now, result);
+      raft_propose(group->raft, std::move(command), result);
   if (index)
     group->pending[*index] = {envelope.from(), request.request_id(),
                               group->raft.term};
@@ -381,7 +381,7 @@
   *command.mutable_roll_out() = value(checked);
   raft_output result;
   std::optional<uint64_t> index =
-      raft_propose(group->raft, std::move(command), now, result);
+      raft_propose(group->raft, std::move(command), result);
   if (index)
     group->pending[*index] = {envelope.from(), request.request_id(),
                               group->raft.term};
@@ -493,6 +493,14 @@
   }
 }
 
+void on_event(replica_state& state, const replica_flush& event, outbox& out) {
+  for (auto& [name, group] : state.groups) {
+    raft_output result;
+    raft_flush(group.raft, event.now, result);
+    absorb(state, group, std::move(result), out);
+  }
+}
+
 void on_event(replica_state& state, const replica_synced& event, outbox& out) {
   state.last_sync_us = event.sync_us;
   for (auto& [name, group] : state.groups) {
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -11,7 +11,8 @@
 //   ...
 //   effects = reduce(state, replica_received{now, envelope});
 //   append every replica_persist to the log, deliver every replica_send;
-//   when something was persisted: sync, then
+//   when something was persisted: reduce(state, replica_flush{now}), sync,
+//   then
 //   effects = reduce(state, replica_synced{now, sync_us});
 //
 // The reducer reads no clock and performs no I/O. `now` must not decrease.
@@ -48,6 +49,12 @@
   wire::envelope envelope;
 };
 
+// The events of one batch are over: what they proposed is sent to the other
+// replicas. Optional; replica_synced does the same later.
+struct replica_flush {
+  unix_ms now = 0;
+};
+
 // Everything persisted so far is on disk.
 struct replica_synced {
   unix_ms now = 0;
@@ -62,6 +69,7 @@
 using replica_event = std::variant<replica_started,
                                    replica_tick,
                                    replica_received,
+                                   replica_flush,
                                    replica_synced,
                                    replica_drain>;
 
--- a/cyclamenwood/replica_daemon.cc
+++ b/cyclamenwood/replica_daemon.cc
@@ -143,6 +143,7 @@
   // Syncs until no write is left: what a sync releases may write again.
   void sync_writes() {
     while (unsynced_ && !failed_) {
+      handle(replica_flush{current_time()});
       unsynced_ = false;
       int64_t started_us = monotonic_us();
       if (all_.replica.added_sync_delay_ms > 0)
