--- a/cyclamenwood/testing/model.cc
+++ b/cyclamenwood/testing/model.cc
@@ -15,7 +15,6 @@
 
 constexpr const char* TENANT = "zupancic";
 constexpr const char* SERVICE = "fit-desk";
-constexpr int CONTENTS = 2;
 constexpr int STATUS_OK = 200;
 constexpr int64_t SETTLE_STEP_MS = 50;
 constexpr int SETTLE_STEPS = 600;
@@ -394,7 +393,7 @@
   event.request.id = {TENANT, submission.key};
   event.request.class_name = "interactive";
   uint32_t patience = choice / 240 % 4;
-  event.request.deadline_ms = now_ + 100 + 800 * patience;
+  event.request.deadline_ms = now_ + 100 + int64_t{800} * patience;
   for (size_t task = 0; task < submission.tasks; ++task)
     event.request.tasks.push_back(
         {SERVICE, payload_of(submission.key, submission.content, task), 0});
--- a/cyclamenwood/testing/raft_test.cc
+++ b/cyclamenwood/testing/raft_test.cc
@@ -116,6 +116,49 @@
   EXPECT_FALSE(raft_is_voter(restarted, 99));
 }
 
+wire::raft_message vote_for(uint64_t from, uint64_t term, bool pre_vote) {
+  wire::raft_message message;
+  message.set_group("g");
+  message.set_from(from);
+  message.set_to(1);
+  message.set_term(term);
+  message.mutable_vote_reply()->set_granted(true);
+  message.mutable_vote_reply()->set_pre_vote(pre_vote);
+  return message;
+}
+
+wire::raft_message accepted_up_to(uint64_t from,
+                                  uint64_t term,
+                                  uint64_t index) {
+  wire::raft_message message;
+  message.set_group("g");
+  message.set_from(from);
+  message.set_to(1);
+  message.set_term(term);
+  message.mutable_append_reply()->set_accepted(true);
+  message.mutable_append_reply()->set_index(index);
+  return message;
+}
+
+// A majority that holds an entry of an older term does not commit it: a later
+// leader without it could still be elected (Ongaro and Ousterhout, figure 8).
+TEST(raft, entries_of_older_terms_commit_with_one_of_the_own_term) {
+  raft_group group = make_group(1);
+  raft_output out;
+  raft_receive(group, append_from(2, 1, 1, 1, 1), 10, out);
+  raft_synced(group, 10, out);
+  raft_tick(group, 60'000, out);
+  raft_receive(group, vote_for(3, 2, true), 60'001, out);
+  raft_synced(group, 60'001, out);
+  raft_receive(group, vote_for(3, 2, false), 60'002, out);
+  raft_synced(group, 60'002, out);
+  ASSERT_EQ(group.role, raft_role::leader);
+  raft_receive(group, accepted_up_to(2, 2, 1), 60'003, out);
+  EXPECT_TRUE(out.committed.empty());
+  raft_receive(group, accepted_up_to(2, 2, 2), 60'004, out);
+  EXPECT_EQ(out.committed.size(), 2U);
+}
+
 // A delayed snapshot must not cost entries that were acknowledged.
 TEST(raft, a_snapshot_keeps_the_tail_that_continues_it) {
   raft_group group = make_group(1);
--- a/cyclamenwood/testing/starts_test.cc
+++ b/cyclamenwood/testing/starts_test.cc
@@ -350,7 +350,7 @@
   background_load load(
       site,
       {.callers = 16, .tasks = 3, .payload = "ms=120", .deadline_ms = 900});
-  for (int round = 0; round < 3; ++round) {
+  for (size_t round = 0; round < 3; ++round) {
     std::string host = site.entry_hosts()[round * 2];
     std::string replica = site.replicas()[round * 2 + 1];
     site.kill_process(host);
