Random runs: not_run speaks of its own and earlier submissions

Trace: b-1 refused the job; copies submitted in the same millisecond at a-1 attached and were told of that refusal; a later copy at a-2, submitted before that word reached the callers of the first two, was taken up, as it had arrived after the refusal. Ruled out: a start for the sake of a refused or earlier copy. The check asked for no start after the answer unless a submission came after it; an answer relayed from another host is late by its way, so that no fence could keep that. It now asks that the start be for a submission made later than the refused one, which is what a caller may rely on (docs/LIMITS.md).

--- a/cyclamenwood/testing/model.h
+++ b/cyclamenwood/testing/model.h
@@ -5,7 +5,8 @@
 // can generate and shrink it. `violations` collects what must never happen:
 //
 //  - a task started twice;
-//  - `not_run` answered for a job of which something started or starts later;
+//  - `not_run` answered for a submission while something of its job started,
+//    or a start after it for the sake of that or an earlier submission;
 //  - a complete answer that is not whole or not the caller's own;
 //  - two different committed entries at one index of a group;
 //  - a claim granted to two owners;
