One blocking HTTP call and one stream writer in place of two each

ctl and the test harness had the same libcurl call; both kinds of gRPC streams had the same write queue handling.

--- a/cyclamenwood/rpc.cc
+++ b/cyclamenwood/rpc.cc
@@ -58,6 +58,36 @@
   }
 };
 
+// What both kinds of streams share: one write at a time, the others queued.
+template <typename Reactor>
+class writing_stream : public Reactor {
+ public:
+  // False when the stream is closed or its queue is full.
+  bool send(wire::envelope envelope) {
+    std::lock_guard lock(mutex_);
+    if (closed_ || !queue_.push(std::move(envelope)))
+      return false;
+    if (!queue_.writing)
+      write_next();
+    return true;
+  }
+
+ protected:
+  // Under the mutex.
+  void write_next() {
+    queue_.writing = !closed_ && queue_.take_next();
+    if (queue_.writing)
+      this->StartWrite(&queue_.current);
+  }
+
+  std::mutex mutex_;
+  write_queue queue_;
+  bool closed_ = false;
+};
+
+using client_reactor = grpc::ClientBidiReactor<wire::envelope, wire::envelope>;
+using server_reactor = grpc::ServerBidiReactor<wire::envelope, wire::envelope>;
+
 class client_stream;
 
 // One peer that is sent to; outlives its streams.
@@ -69,8 +99,7 @@
   steady_clock::time_point open_after;
 };
 
-class client_stream
-    : public grpc::ClientBidiReactor<wire::envelope, wire::envelope> {
+class client_stream : public writing_stream<client_reactor> {
  public:
   client_stream(std::shared_ptr<peer_slot> slot, rpc_node::receiver receive)
       : slot_(std::move(slot)), receive_(std::move(receive)) {}
@@ -82,17 +111,6 @@
     StartCall();
   }
 
-  bool send(wire::envelope envelope) {
-    std::lock_guard lock(mutex_);
-    if (closed_ || !queue_.push(std::move(envelope)))
-      return false;
-    if (!queue_.writing && queue_.take_next()) {
-      queue_.writing = true;
-      StartWrite(&queue_.current);
-    }
-    return true;
-  }
-
   void OnReadDone(bool ok) override {
     if (!ok) {
       close();
@@ -109,9 +127,7 @@
       return;
     }
     std::lock_guard lock(mutex_);
-    queue_.writing = queue_.take_next();
-    if (queue_.writing)
-      StartWrite(&queue_.current);
+    write_next();
   }
 
   void OnDone(const grpc::Status& /*status*/) override {
@@ -140,9 +156,6 @@
   rpc_node::receiver receive_;
   grpc::ClientContext context_;
   wire::envelope incoming_;
-  std::mutex mutex_;
-  write_queue queue_;
-  bool closed_ = false;
 };
 
 class server_stream;
@@ -153,25 +166,13 @@
   std::map<std::string, server_stream*> by_host;
 };
 
-class server_stream
-    : public grpc::ServerBidiReactor<wire::envelope, wire::envelope> {
+class server_stream : public writing_stream<server_reactor> {
  public:
   server_stream(incoming_streams& all, rpc_node::receiver receive)
       : all_(all), receive_(std::move(receive)) {
     StartRead(&incoming_);
   }
 
-  bool send(wire::envelope envelope) {
-    std::lock_guard lock(mutex_);
-    if (closed_ || !queue_.push(std::move(envelope)))
-      return false;
-    if (!queue_.writing && queue_.take_next()) {
-      queue_.writing = true;
-      StartWrite(&queue_.current);
-    }
-    return true;
-  }
-
   void OnReadDone(bool ok) override {
     if (!ok) {
       close();
@@ -191,9 +192,9 @@
     bool finish = false;
     {
       std::lock_guard lock(mutex_);
-      queue_.writing = ok && !closed_ && queue_.take_next();
-      if (queue_.writing)
-        StartWrite(&queue_.current);
+      queue_.writing = false;
+      if (ok)
+        write_next();
       finish = !queue_.writing && closed_;
     }
     if (finish)
@@ -233,9 +234,6 @@
   rpc_node::receiver receive_;
   wire::envelope incoming_;
   std::string host_;
-  std::mutex mutex_;
-  write_queue queue_;
-  bool closed_ = false;
 };
 
 class link_service : public wire::link::CallbackService {
--- a/cyclamenwood/testing/deployment.cc
+++ b/cyclamenwood/testing/deployment.cc
@@ -2,7 +2,6 @@
 // temporary folder, and die with the test that started them.
 #include "cyclamenwood/testing/deployment.h"
 
-#include <curl/curl.h>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <sys/prctl.h>
@@ -20,6 +19,7 @@
 
 #include "cyclamenwood/loop.h"
 #include "cyclamenwood/settings.h"
+#include "cyclamenwood/util/blocking_http.h"
 #include "cyclamenwood/wal.h"
 
 namespace cyclamenwood {
@@ -73,11 +73,6 @@
   _exit(127);
 }
 
-size_t append_body(char* data, size_t size, size_t count, void* into) {
-  static_cast<std::string*>(into)->append(data, size * count);
-  return size * count;
-}
-
 }  // namespace
 
 std::string http_reply::outcome() const {
@@ -99,30 +94,11 @@
                      const std::string& path,
                      const std::string& body,
                      int64_t timeout_ms) {
-  CURL* easy = curl_easy_init();
-  std::string url = fmt::format("http://{}{}", address, path);
-  http_reply reply;
-  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
-  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout_ms));
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &append_body);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &reply.body);
-  if (!body.empty()) {
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(body.size()));
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.data());
-  }
-  CURLcode code = curl_easy_perform(easy);
-  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply.status);
-  if (code != CURLE_OK)
-    reply = http_reply();
-  curl_slist_free_all(headers);
-  curl_easy_cleanup(easy);
-  return reply;
+  result<api_answer> answer =
+      call(blocking_request{address, method, path, body, timeout_ms});
+  if (!ok(answer))
+    return {};
+  return {value(answer).status, std::move(value(answer).body)};
 }
 
 bool wait_until(const std::function<bool()>& condition, int64_t limit_ms) {
--- a/programs/ctl.cc
+++ b/programs/ctl.cc
@@ -14,6 +14,7 @@
 
 #include "cyclamenwood/bundle.h"
 #include "cyclamenwood/settings.h"
+#include "cyclamenwood/util/blocking_http.h"
 #include "cyclamenwood/util/program.h"
 
 namespace cyclamenwood {
@@ -62,44 +63,12 @@
   std::vector<std::string> words;
 };
 
-struct http_reply {
-  long status = 0;
-  std::string body;
-};
-
-size_t append_body(char* data, size_t size, size_t count, void* into) {
-  static_cast<std::string*>(into)->append(data, size * count);
-  return size * count;
-}
-
-result<http_reply> call(const arguments& given,
+result<api_answer> call(const arguments& given,
                         const std::string& method,
                         const std::string& path,
                         const std::string& body) {
-  CURL* easy = curl_easy_init();
-  std::string url = fmt::format("http://{}{}", given.host, path);
-  http_reply reply;
-  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
-  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, given.timeout_ms);
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &append_body);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &reply.body);
-  if (!body.empty()) {
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(body.size()));
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.data());
-  }
-  CURLcode code = curl_easy_perform(easy);
-  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &reply.status);
-  curl_slist_free_all(headers);
-  curl_easy_cleanup(easy);
-  if (code != CURLE_OK)
-    return error{error_code::connection_failed,
-                 fmt::format("{}: {}", given.host, curl_easy_strerror(code))};
-  return reply;
+  return call(
+      blocking_request{given.host, method, path, body, given.timeout_ms});
 }
 
 result<std::string> read_input(const std::string& path) {
@@ -123,10 +92,10 @@
   return copy;
 }
 
-int print_reply(const arguments& given, const result<http_reply>& called) {
+int print_reply(const arguments& given, const result<api_answer>& called) {
   if (!ok(called))
     return report(PROGRAM, failure(called));
-  const auto& reply = std::get<http_reply>(called);
+  const auto& reply = std::get<api_answer>(called);
   json body = json::parse(reply.body, nullptr, false);
   bool failed = reply.status >= FIRST_FAILURE_STATUS;
   std::FILE* stream = failed ? stderr : stdout;
@@ -190,7 +159,7 @@
 }
 
 int show_bundle(const arguments& given) {
-  result<http_reply> called = call(given, "GET", "/v1/bundle", "");
+  result<api_answer> called = call(given, "GET", "/v1/bundle", "");
   if (!given.raw_json && ok(called) &&
       value(called).status < FIRST_FAILURE_STATUS) {
     json body = json::parse(value(called).body, nullptr, false);
@@ -218,7 +187,7 @@
 }
 
 int show_histograms(const arguments& given) {
-  result<http_reply> called = call(given, "GET", "/v1/metrics", "");
+  result<api_answer> called = call(given, "GET", "/v1/metrics", "");
   if (given.raw_json || !ok(called))
     return print_reply(given, called);
   json page = json::parse(value(called).body, nullptr, false);
