--- a/cyclamenwood/testing/deployment.cc
+++ b/cyclamenwood/testing/deployment.cc
@@ -45,18 +45,6 @@
   return self.parent_path().string();
 }
 
-std::string program(const std::string& name) {
-  std::filesystem::path here = program_folder();
-  for (const auto& folder :
-       {here, here.parent_path(), here.parent_path().parent_path(),
-        here / "cyclamenwood/testing",
-        here.parent_path() / "cyclamenwood/testing"}) {
-    if (std::filesystem::exists(folder / name))
-      return (folder / name).string();
-  }
-  return name;
-}
-
 pid_t spawn(const std::vector<std::string>& command, const std::string& log) {
   pid_t pid = fork();
   if (pid != 0)
@@ -101,6 +89,18 @@
   return {value(answer).status, std::move(value(answer).body)};
 }
 
+std::string program_path(const std::string& name) {
+  std::filesystem::path here = program_folder();
+  for (const auto& folder :
+       {here, here.parent_path(), here.parent_path().parent_path(),
+        here / "cyclamenwood/testing",
+        here.parent_path() / "cyclamenwood/testing"}) {
+    if (std::filesystem::exists(folder / name))
+      return (folder / name).string();
+  }
+  return name;
+}
+
 bool wait_until(const std::function<bool()>& condition, int64_t limit_ms) {
   int64_t end_us = monotonic_us() + limit_ms * 1000;
   while (!condition()) {
@@ -166,7 +166,7 @@
                           zone,
                           fmt::format("{}:{}", ip, HTTP_PORT),
                           fmt::format("{}:{}", ip, RPC_PORT),
-                          {program("cyclamenwood-entryd"), "--settings",
+                          {program_path("cyclamenwood-entryd"), "--settings",
                            settings_path(), "--name", name}};
       entry_names_.push_back(name);
     }
@@ -178,7 +178,7 @@
           zone,
           fmt::format("{}:{}", ip, HTTP_PORT),
           fmt::format("{}:{}", ip, RPC_PORT),
-          {program("cyclamenwood-replicad"), "--settings", settings_path(),
+          {program_path("cyclamenwood-replicad"), "--settings", settings_path(),
            "--name", name, "--data", data_folder(name)}};
       replica_names_.push_back(name);
     }
@@ -189,7 +189,7 @@
         zone,
         "",
         "",
-        {program("standin-upstream"), "--starts", folder_ + "/starts"}};
+        {program_path("standin-upstream"), "--starts", folder_ + "/starts"}};
     std::string entries;
     for (const std::string& host : entry_hosts_in(zone))
       entries += (entries.empty() ? "" : ",") + processes_[host].http;
--- a/cyclamenwood/testing/deployment.h
+++ b/cyclamenwood/testing/deployment.h
@@ -67,6 +67,9 @@
                      const std::string& body = {},
                      int64_t timeout_ms = 30'000);
 
+// Where the built program is.
+std::string program_path(const std::string& name);
+
 // Waits until the condition holds; false after the limit.
 bool wait_until(const std::function<bool()>& condition,
                 int64_t limit_ms = 20'000);
