Reading the change: one decision in place of two, dead state removed

decide_refusal repeated what decide_claim does of a conflict, an expired key and another owner; it now calls it. Removed, as nothing read them: the configuration log's clock, the report time of configuration replicas, the count of committed commands, json_reader::required.

--- a/cyclamenwood/bundle.cc
+++ b/cyclamenwood/bundle.cc
@@ -186,7 +186,6 @@
 
 std::string save_config(const config_log& log) {
   wire::config_history saved;
-  saved.set_clock_ms(log.clock_ms);
   for (const wire::roll_out& version : log.versions)
     *saved.add_versions() = version;
   return saved.SerializeAsString();
@@ -196,7 +195,6 @@
   wire::config_history saved;
   saved.ParseFromArray(data.data(), static_cast<int>(data.size()));
   config_log log;
-  log.clock_ms = saved.clock_ms();
   for (const wire::roll_out& version : saved.versions())
     log.versions.push_back(version);
   return log;
--- a/cyclamenwood/bundle.h
+++ b/cyclamenwood/bundle.h
@@ -62,7 +62,6 @@
 // Versions that were accepted. Only the newest few keep their content; the
 // others answer resends by digest.
 struct config_log {
-  unix_ms clock_ms = 0;
   std::deque<wire::roll_out> versions;
 };
 
--- a/cyclamenwood/claim_client.cc
+++ b/cyclamenwood/claim_client.cc
@@ -68,42 +68,6 @@
   ask_owner(r, operation, command.id, owner, nullptr, command.caller);
 }
 
-// What the group says of a job that is to be refused.
-void decide_refusal(reduction& r,
-                    job& checked,
-                    const wire::claim_reply& reply) {
-  error refusal = *checked.refusal;
-  switch (reply.result()) {
-    case wire::CLAIM_ABSENT:
-      // Kept when an earlier claim may still be committed for this host.
-      if (checked.claim_sent)
-        checked.phase = job_phase::claiming;
-      fail_job(r, checked, refusal, execution::not_run);
-      return;
-    case wire::CLAIM_GRANTED:
-      // Claimed by this host, which started nothing.
-      checked.phase = job_phase::claiming;
-      fail_job(r, checked, refusal, execution::not_run);
-      return;
-    case wire::CLAIM_FULL:
-      fail_job(r, checked, refusal, execution::not_run);
-      return;
-    case wire::CLAIM_EXPIRED:
-      fail_job(r, checked,
-               error{error_code::key_expired, checked.request.id.key},
-               execution::unknown);
-      return;
-    case wire::CLAIM_CONFLICT:
-      fail_job(r, checked,
-               error{error_code::key_conflict, checked.request.id.key},
-               execution::not_run);
-      return;
-    default:
-      attach(r, checked, {reply.owner_host(), reply.owner_incarnation()});
-      return;
-  }
-}
-
 void decide_claim(reduction& r, job& claiming, const wire::claim_reply& reply) {
   const std::string& key = claiming.request.id.key;
   switch (reply.result()) {
@@ -128,6 +92,33 @@
   }
 }
 
+// What the group says of a job that is to be refused. Only what proves that
+// the key is free, or claimed by this host, lets the refusal stand.
+void decide_refusal(reduction& r,
+                    job& checked,
+                    const wire::claim_reply& reply) {
+  error refusal = *checked.refusal;
+  switch (reply.result()) {
+    case wire::CLAIM_ABSENT:
+      // Kept when an earlier claim may still be committed for this host.
+      if (checked.claim_sent)
+        checked.phase = job_phase::claiming;
+      fail_job(r, checked, refusal, execution::not_run);
+      return;
+    case wire::CLAIM_GRANTED:
+      // Claimed by this host, which started nothing.
+      checked.phase = job_phase::claiming;
+      fail_job(r, checked, refusal, execution::not_run);
+      return;
+    case wire::CLAIM_FULL:
+      fail_job(r, checked, refusal, execution::not_run);
+      return;
+    default:
+      decide_claim(r, checked, reply);
+      return;
+  }
+}
+
 void give_up(reduction& r, const pending_claim& pending) {
   error reason{error_code::claim_unavailable, pending.route.group};
   if (pending.command) {
--- a/cyclamenwood/config_follow.cc
+++ b/cyclamenwood/config_follow.cc
@@ -42,13 +42,12 @@
 
 // The newest membership that any report names.
 const wire::membership* newest_members(const config_follower& config) {
-  const config_report* newest = nullptr;
+  const wire::config_state* newest = nullptr;
   for (const auto& [host, report] : config.reports) {
-    if (newest == nullptr ||
-        report.state.members_index() > newest->state.members_index())
+    if (newest == nullptr || report.members_index() > newest->members_index())
       newest = &report;
   }
-  return newest == nullptr ? nullptr : &newest->state.members();
+  return newest == nullptr ? nullptr : &newest->members();
 }
 
 // Whether the reports prove that no newer version was ever in force.
@@ -63,11 +62,11 @@
   uint64_t applied = 0;
   uint64_t logged = 0;
   for (const auto& [host, report] : config.reports) {
-    if (!voters.contains(report.state.identity()))
+    if (!voters.contains(report.identity()))
       continue;
-    answered.insert(report.state.identity());
-    applied = std::max(applied, report.state.applied_version());
-    logged = std::max(logged, report.state.logged_version());
+    answered.insert(report.identity());
+    applied = std::max(applied, report.applied_version());
+    logged = std::max(logged, report.logged_version());
   }
   bool majority = answered.size() > voters.size() / 2;
   return majority && applied >= logged && config.candidate.version() >= applied;
@@ -156,10 +155,9 @@
     put_in_force(r, config.candidate);
     return;
   }
-  config_report& report = config.reports[from];
-  report.state = state;
-  report.state.clear_versions();
-  report.heard_ms = r.now;
+  wire::config_state& report = config.reports[from];
+  report = state;
+  report.clear_versions();
   confirm(r);
 }
 
--- a/cyclamenwood/entry.h
+++ b/cyclamenwood/entry.h
@@ -263,12 +263,6 @@
   wire::roll_out content;
 };
 
-// What one configuration replica said last.
-struct config_report {
-  wire::config_state state;
-  unix_ms heard_ms = 0;
-};
-
 // Which bundle is in force here, and how that is kept up to date. After a
 // start nothing is in force until a majority of the configuration group has
 // answered and no member of it holds a version that it has not applied: then
@@ -279,7 +273,8 @@
   std::string content;
   // The newest version heard of before the confirmation.
   wire::roll_out candidate;
-  std::map<std::string, config_report> reports;
+  // What each configuration replica said last, before the confirmation.
+  std::map<std::string, wire::config_state> reports;
   unix_ms read_at_ms = 0;
   unix_ms own_zone_heard_ms = 0;
 };
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -162,7 +162,6 @@
   if (entry.index() <= group.applied_index)
     return;
   group.applied_index = entry.index();
-  ++state.committed_commands;
   auto waiting = group.pending.find(entry.index());
   const pending_request* request = nullptr;
   if (waiting != group.pending.end() && waiting->second.term == entry.term())
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -135,8 +135,6 @@
   bool draining = false;
   unix_ms drain_until_ms = 0;
   int64_t last_sync_us = 0;
-  // Commands committed since the start, for measurements.
-  uint64_t committed_commands = 0;
 };
 
 replica_state make_replica(const settings& all,
--- a/cyclamenwood/util/json_reader.cc
+++ b/cyclamenwood/util/json_reader.cc
@@ -8,7 +8,6 @@
 
 const nlohmann::json EMPTY_ARRAY = nlohmann::json::array();
 const nlohmann::json EMPTY_OBJECT = nlohmann::json::object();
-const nlohmann::json NULL_VALUE;
 
 }  // namespace
 
@@ -43,15 +42,6 @@
   return found == object_->end() ? nullptr : &*found;
 }
 
-const nlohmann::json& json_reader::required(std::string_view key) {
-  const nlohmann::json* found = member(key);
-  if (found == nullptr) {
-    fail(key, "is missing");
-    return NULL_VALUE;
-  }
-  return *found;
-}
-
 int64_t json_reader::integer(std::string_view key,
                              int64_t min,
                              int64_t max,
--- a/cyclamenwood/util/json_reader.h
+++ b/cyclamenwood/util/json_reader.h
@@ -37,8 +37,6 @@
                    const std::optional<std::string>& fallback = std::nullopt);
   // A member of any type, or nullptr when it is absent.
   const nlohmann::json* member(std::string_view key);
-  // As above; absent is an error.
-  const nlohmann::json& required(std::string_view key);
   const nlohmann::json& array(std::string_view key, bool is_required);
   const nlohmann::json& object(std::string_view key, bool is_required);
 
