--- a/cyclamenwood/api.h
+++ b/cyclamenwood/api.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "cyclamenwood/settings.h"
@@ -55,6 +56,7 @@
 struct api_answer {
   int status = 200;
   std::string body;
+  std::vector<std::pair<std::string, std::string>> headers{};
 };
 
 api_answer failure_answer(const error& reason,
--- /dev/null
+++ b/cyclamenwood/control_daemon.h
@@ -0,0 +1,217 @@
+// The shell of a replica of a seeded deployment: it answers operators and
+// takes the announcements of upstreams.
+//
+// `Adapter` knows the formats of both.
+#ifndef CYCLAMENWOOD_CONTROL_DAEMON_H_
+#define CYCLAMENWOOD_CONTROL_DAEMON_H_
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "cyclamenwood/host_settings.h"
+#include "cyclamenwood/http_server.h"
+#include "cyclamenwood/replica_runner.h"
+#include "cyclamenwood/route_table.h"
+#include "cyclamenwood/types.h"
+#include "cyclamenwood/util/log.h"
+
+namespace cyclamenwood {
+
+template <typename Adapter>
+class control_daemon {
+ public:
+  explicit control_daemon(const host_settings& settings)
+      : settings_(settings),
+        http_(
+            loop_,
+            limits(),
+            [this](const http_request& request) { on_request(request); },
+            [this](uint64_t exchange) { paths_.erase(exchange); }),
+        runner_(loop_, options(), raft().heartbeat_interval_ms, {}),
+        terminate_(loop_, SIGTERM, [this] { runner_.drain(); }),
+        interrupt_(loop_, SIGINT, [this] { runner_.drain(); }) {
+    runner_.set_answer_handler(
+        [this](const replica_operator_answer& answer) { on_answer(answer); });
+  }
+
+  result<done> run() {
+    result<wal_contents> contents = open_folder();
+    if (!ok(contents))
+      return failure(contents);
+    std::random_device device;
+    uint64_t seed = uint64_t{device()} << 32 | device();
+    replica_state state =
+        make_control_replica(settings_, options(), raft(),
+                             value(contents).identity, seed, current_time());
+    log_line(log_level::info, "started",
+             fmt::format("name={} identity={:016x} rpc={}", settings_.name,
+                         value(contents).identity, settings_.rpc));
+    if (result<done> up =
+            runner_.start(std::move(state), value(contents), settings_.rpc);
+        !ok(up))
+      return up;
+    if (result<done> up = http_.listen(settings_.control); !ok(up))
+      return up;
+    loop_.run();
+    log_line(log_level::info, "stopped", "");
+    return runner_.outcome();
+  }
+
+ private:
+  static constexpr int STATUS_OK = 200;
+  static constexpr int STATUS_BAD_REQUEST = 400;
+  static constexpr int STATUS_NOT_FOUND = 404;
+
+  // Two heartbeats may be lost before an election; a vote waits for two syncs
+  // of a slow disk.
+  static raft_options raft() {
+    raft_options options;
+    options.election_timeout_ms = 500;
+    options.heartbeat_interval_ms = 100;
+    options.resend_timeout_ms = 250;
+    return options;
+  }
+
+  static replica_options options() {
+    replica_options options;
+    options.snapshot_min_entries = 256;
+    options.max_log_bytes = 8 << 20;
+    return options;
+  }
+
+  static http_settings limits() {
+    http_settings limits;
+    limits.max_body_bytes = 4 << 20;
+    limits.max_connections = 3'000;
+    limits.max_connections_per_ip = 3'000;
+    return limits;
+  }
+
+  // A founder's identity is known to the other founders; any other replica
+  // draws one.
+  result<wal_contents> open_folder() {
+    result<wal_contents> contents = runner_.open(settings_.data_folder);
+    bool empty = !ok(contents) &&
+                 failure(contents).code == error_code::folder_not_formatted;
+    if (!empty)
+      return contents;
+    bool founds = settings_.bootstrap &&
+                  std::find(settings_.seeds.begin(), settings_.seeds.end(),
+                            settings_.rpc) != settings_.seeds.end();
+    std::optional<uint64_t> identity;
+    if (founds)
+      identity = founding_identity(settings_.rpc);
+    result<uint64_t> formatted =
+        format_folder(settings_.data_folder, settings_.rpc, identity);
+    if (!ok(formatted))
+      return failure(formatted);
+    log_line(
+        log_level::info, "folder_formatted",
+        fmt::format("identity={:016x} founds={}", value(formatted), founds));
+    return runner_.open(settings_.data_folder);
+  }
+
+  void answer(uint64_t exchange, int status) {
+    http_.respond(exchange, {status, "{}"});
+  }
+
+  void on_request(const http_request& request) {
+    std::string_view path = request.path;
+    if (request.method == "POST" && path == Adapter::REPLACE_PATH) {
+      offer(request);
+    } else if (request.method == "GET" && path == Adapter::READ_PATH) {
+      paths_[request.exchange] = request.path;
+      feed(replica_config_wanted{current_time(), request.exchange});
+    } else if (request.method == "POST" &&
+               path.starts_with(Adapter::UPSTREAM_PREFIX)) {
+      hear(request);
+    } else {
+      answer(request.exchange, STATUS_NOT_FOUND);
+    }
+  }
+
+  void offer(const http_request& request) {
+    result<route_table> table = Adapter::read_routes(request.body);
+    if (!ok(table)) {
+      log_line(log_level::warning, "config_refused",
+               fmt::format("reason={} bytes={}", failure(table).argument,
+                           request.body.size()));
+      answer(request.exchange, STATUS_BAD_REQUEST);
+      return;
+    }
+    paths_[request.exchange] = request.path;
+    replica_config_offered event{current_time(), request.exchange, {}};
+    event.latest.set_version(value(table).version);
+    event.latest.set_content(request.body);
+    event.latest.set_digest(content_digest(request.body));
+    feed(event);
+  }
+
+  void hear(const http_request& request) {
+    std::string_view rest = request.path;
+    rest.remove_prefix(Adapter::UPSTREAM_PREFIX.size());
+    size_t slash = rest.find('/');
+    std::string_view id = rest.substr(0, slash);
+    std::string_view suffix =
+        slash == std::string_view::npos ? "" : rest.substr(slash);
+    if (suffix == Adapter::LEAVE_SUFFIX) {
+      feed(replica_upstream_left{current_time(), std::string(id)});
+      answer(request.exchange, STATUS_OK);
+      return;
+    }
+    if (suffix != Adapter::ANNOUNCE_SUFFIX) {
+      answer(request.exchange, STATUS_NOT_FOUND);
+      return;
+    }
+    result<wire::upstream> heard = Adapter::read_announcement(id, request.body);
+    if (!ok(heard)) {
+      log_line(log_level::warning, "announcement_refused",
+               fmt::format("upstream={} field={} bytes={}", id,
+                           failure(heard).argument, request.body.size()));
+      answer(request.exchange, STATUS_BAD_REQUEST);
+      return;
+    }
+    feed(replica_upstream_heard{current_time(), std::move(value(heard))});
+    answer(request.exchange, STATUS_OK);
+  }
+
+  // Writes are synced with the batch of messages or the tick that follows, so
+  // that requests that come together share a sync.
+  void feed(const replica_event& event) {
+    runner_.handle(event);
+    if (!sync_posted_) {
+      sync_posted_ = true;
+      loop_.post([this] { sync_posted_ = false; });
+    }
+  }
+
+  void on_answer(const replica_operator_answer& answer) {
+    auto found = paths_.find(answer.exchange);
+    if (found == paths_.end())
+      return;
+    http_.respond(answer.exchange,
+                  Adapter::write_operator_answer(answer, found->second,
+                                                 port_of(settings_.control)));
+    paths_.erase(found);
+  }
+
+  event_loop loop_;
+  host_settings settings_;
+  http_server http_;
+  replica_runner runner_;
+  signal_watcher terminate_;
+  signal_watcher interrupt_;
+  // Of the operators' requests that wait for their answer.
+  std::map<uint64_t, std::string> paths_;
+  bool sync_posted_ = false;
+};
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_CONTROL_DAEMON_H_
--- /dev/null
+++ b/cyclamenwood/control_log.cc
@@ -0,0 +1,48 @@
+// A zone has one record, replaced by each grant; the counter of tokens is part
+// of the state and so of each snapshot.
+#include "cyclamenwood/control_log.h"
+
+namespace cyclamenwood {
+
+bool apply_latest(control_log& log, const wire::roll_out& offered) {
+  if (log.table.has_latest() &&
+      offered.version() <= log.table.latest().version())
+    return false;
+  *log.table.mutable_latest() = offered;
+  return true;
+}
+
+void apply_grant(control_log& log, const wire::owner_grant& wanted) {
+  uint64_t token = log.table.last_token() + 1;
+  log.table.set_last_token(token);
+  wire::owner_grant* record = nullptr;
+  for (wire::owner_grant& known : *log.table.mutable_grants()) {
+    if (known.zone() == wanted.zone())
+      record = &known;
+  }
+  if (record == nullptr)
+    record = log.table.add_grants();
+  *record = wanted;
+  record->set_token(token);
+}
+
+const wire::owner_grant* find_grant(const control_log& log,
+                                    std::string_view zone) {
+  for (const wire::owner_grant& known : log.table.grants()) {
+    if (known.zone() == zone)
+      return &known;
+  }
+  return nullptr;
+}
+
+std::string save_control(const control_log& log) {
+  return log.table.SerializeAsString();
+}
+
+control_log load_control(std::string_view data) {
+  control_log log;
+  log.table.ParseFromArray(data.data(), static_cast<int>(data.size()));
+  return log;
+}
+
+}  // namespace cyclamenwood
--- a/cyclamenwood/curl_loop.cc
+++ b/cyclamenwood/curl_loop.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double MS = 1000.0;
+// Kept open for the next request; a quarter of an entry host's descriptors.
+constexpr long MAX_IDLE_CONNECTIONS = 1024;
 
 }  // namespace
 
@@ -21,6 +23,7 @@
   curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
   curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
                     static_cast<long>(max_connections_per_host));
+  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, MAX_IDLE_CONNECTIONS);
   curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
   ev_timer_init(&timer_, on_timer, 0, 0);
   timer_.data = this;
--- /dev/null
+++ b/cyclamenwood/directory.cc
@@ -0,0 +1,65 @@
+// One record an id; every change takes the next number, so that a reader's
+// position is one integer.
+#include "cyclamenwood/directory.h"
+
+namespace cyclamenwood {
+namespace {
+
+// Whether anything but the sequence differs.
+bool says_something_new(wire::upstream known, const wire::upstream& heard) {
+  known.set_sequence(heard.sequence());
+  return known.SerializeAsString() != heard.SerializeAsString();
+}
+
+}  // namespace
+
+bool hear_upstream(upstream_directory& directory,
+                   const wire::upstream& heard,
+                   unix_ms now) {
+  auto [found, added] = directory.records.try_emplace(heard.id());
+  directory_record& record = found->second;
+  if (!added) {
+    const wire::upstream& known = record.upstream;
+    bool older = heard.incarnation() < known.incarnation() ||
+                 (heard.incarnation() == known.incarnation() &&
+                  heard.sequence() <= known.sequence());
+    if (older)
+      return false;
+  }
+  record.heard_ms = now;
+  bool news = added || says_something_new(record.upstream, heard);
+  record.upstream = heard;
+  if (news)
+    record.change = ++directory.last_change;
+  return news;
+}
+
+bool hear_leave(upstream_directory& directory, const std::string& id) {
+  auto found = directory.records.find(id);
+  if (found == directory.records.end() ||
+      found->second.upstream.state() == wire::UPSTREAM_LEAVING)
+    return false;
+  found->second.upstream.set_state(wire::UPSTREAM_LEAVING);
+  found->second.change = ++directory.last_change;
+  return true;
+}
+
+void expire_upstreams(upstream_directory& directory, unix_ms oldest_ms) {
+  std::erase_if(directory.records, [oldest_ms](const auto& item) {
+    return item.second.heard_ms < oldest_ms;
+  });
+}
+
+void add_changes(const upstream_directory& directory,
+                 const std::string& zone,
+                 uint64_t have,
+                 wire::control_news& news) {
+  news.set_directory(directory.life);
+  news.set_change(directory.last_change);
+  for (const auto& [id, record] : directory.records) {
+    if (record.change > have && record.upstream.zone() == zone)
+      *news.add_upstreams() = record.upstream;
+  }
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/host_entry.cc
@@ -0,0 +1,289 @@
+// What the two parts send to this host itself is delivered in the same
+// reduction; everything else becomes an effect.
+#include "cyclamenwood/host_entry.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace cyclamenwood {
+namespace {
+
+// Hellos carry both liveness and what has arrived; a third of the silence
+// after which a peer is given up.
+constexpr int64_t HELLO_INTERVAL_MS = 200;
+
+struct host_outbox {
+  host_effects effects;
+  std::vector<wire::envelope> to_self;
+};
+
+void send(host_entry& state,
+          const std::string& host,
+          wire::envelope envelope,
+          host_outbox& out) {
+  envelope.set_from(state.settings.rpc);
+  envelope.set_incarnation(state.incarnation);
+  if (host == state.settings.rpc)
+    out.to_self.push_back(std::move(envelope));
+  else
+    out.effects.push_back(host_send{host, std::move(envelope)});
+}
+
+void absorb(host_entry& state, intake_output done, host_outbox& out) {
+  for (caller_answer& answer : done.answers)
+    out.effects.push_back(answer);
+  for (auto& [host, envelope] : done.messages)
+    send(state, host, std::move(envelope), out);
+  for (intake_note& note : done.notes)
+    out.effects.push_back(
+        host_note{std::move(note.event), std::move(note.details)});
+}
+
+void absorb(host_entry& state, pool_output done, host_outbox& out) {
+  for (run_order& order : done.orders)
+    out.effects.push_back(std::move(order));
+  for (auto& [host, results] : done.results) {
+    wire::envelope envelope;
+    *envelope.mutable_run_results() = std::move(results);
+    send(state, host, std::move(envelope), out);
+  }
+  for (pool_note& note : done.notes)
+    out.effects.push_back(
+        host_note{std::move(note.event), std::move(note.details)});
+  if (done.lost)
+    disown_pool(state.upstreams);
+}
+
+void note(host_outbox& out, std::string event, std::string details) {
+  out.effects.push_back(host_note{std::move(event), std::move(details)});
+}
+
+// ---- News from the replicas -------------------------------------------------
+
+void take_config(host_entry& state,
+                 const wire::roll_out& latest,
+                 host_outbox& out) {
+  uint64_t version = state.callers.routes ? state.callers.routes->version : 0;
+  if (latest.version() <= version)
+    return;
+  result<route_table> table = state.read_routes(latest.content());
+  if (!ok(table)) {
+    note(out, "config_unreadable",
+         fmt::format("version={} reason={}", latest.version(),
+                     failure(table).argument));
+    return;
+  }
+  state.callers.routes = std::move(value(table));
+  note(out, "config_in_force",
+       fmt::format("version={} routes={}", latest.version(),
+                   state.callers.routes->routes.size()));
+}
+
+void take_ownership(host_entry& state, unix_ms now, host_outbox& out) {
+  auto found = state.callers.grants.find(state.settings.zone);
+  if (found == state.callers.grants.end())
+    return;
+  const wire::owner_grant& grant = found->second;
+  pool& pool = state.upstreams;
+  if (grant.token() <= pool.highest_token)
+    return;
+  bool mine = grant.host() == state.settings.rpc &&
+              grant.incarnation() == state.incarnation;
+  pool_output done;
+  if (mine) {
+    own_pool(pool, grant.token(), now, done);
+  } else if (pool.token != 0) {
+    note(
+        out, "ownership_given_up",
+        fmt::format("token={} owner={} by=grant", grant.token(), grant.host()));
+    disown_pool(pool);
+  }
+  absorb(state, std::move(done), out);
+}
+
+void take_news(host_entry& state,
+               unix_ms now,
+               const wire::envelope& envelope,
+               host_outbox& out) {
+  const wire::control_news& news = envelope.control_news();
+  for (const std::string& replica : news.replicas())
+    state.replicas.try_emplace(replica);
+  known_replica& from = state.replicas[envelope.from()];
+  from.directory = news.directory();
+  from.have_change = news.change();
+  from.heard_ms = now;
+  if (news.has_latest())
+    take_config(state, news.latest(), out);
+  pool_output learned;
+  for (const wire::upstream& upstream : news.upstreams())
+    learn_upstream(state.upstreams, upstream, now, learned);
+  absorb(state, std::move(learned), out);
+  intake_output granted;
+  learn_grants(state.callers, news, now, granted);
+  // The pool first: the requests that follow are for it, if it is its own.
+  take_ownership(state, now, out);
+  absorb(state, std::move(granted), out);
+}
+
+// ---- Messages ---------------------------------------------------------------
+
+void answer_pool_hello(host_entry& state,
+                       unix_ms now,
+                       const wire::envelope& envelope,
+                       host_outbox& out) {
+  if (state.upstreams.token == 0)
+    return;
+  pool_output done;
+  hear_peer(state.upstreams, envelope.from(), envelope.incarnation(), now,
+            done);
+  absorb(state, std::move(done), out);
+  wire::envelope reply;
+  *reply.mutable_pool_state() = describe_pool(state.upstreams, now);
+  send(state, envelope.from(), std::move(reply), out);
+}
+
+void receive(host_entry& state,
+             unix_ms now,
+             const wire::envelope& envelope,
+             host_outbox& out) {
+  pool_output pooled;
+  intake_output taken;
+  switch (envelope.body_case()) {
+    case wire::envelope::kControlNews:
+      take_news(state, now, envelope, out);
+      break;
+    case wire::envelope::kRunRequest:
+      hear_peer(state.upstreams, envelope.from(), envelope.incarnation(), now,
+                pooled);
+      request_runs(state.upstreams, envelope.from(), envelope.run_request(),
+                   now, pooled);
+      break;
+    case wire::envelope::kRunRelease:
+      release_runs(state.upstreams, envelope.run_release().submission(), now,
+                   pooled);
+      break;
+    case wire::envelope::kRunResults:
+      take_results(state.callers, envelope.from(), envelope.run_results(), now,
+                   taken);
+      break;
+    case wire::envelope::kPoolHello:
+      answer_pool_hello(state, now, envelope, out);
+      break;
+    case wire::envelope::kPoolState:
+      hear_pool(state.callers, envelope.pool_state(), now);
+      break;
+    default:
+      break;
+  }
+  absorb(state, std::move(pooled), out);
+  absorb(state, std::move(taken), out);
+}
+
+void say_hello(host_entry& state, unix_ms now, host_outbox& out) {
+  if (now < state.hello_ms)
+    return;
+  state.hello_ms = now + HELLO_INTERVAL_MS;
+  for (const auto& [host, replica] : state.replicas) {
+    wire::envelope envelope;
+    wire::entry_hello& hello = *envelope.mutable_entry_hello();
+    hello.set_zone(state.settings.zone);
+    hello.set_draining(state.draining);
+    hello.set_have_version(state.callers.routes ? state.callers.routes->version
+                                                : 0);
+    hello.set_directory(replica.directory);
+    hello.set_have_change(replica.have_change);
+    send(state, host, std::move(envelope), out);
+  }
+  for (const auto& [zone, grant] : state.callers.grants) {
+    wire::envelope envelope;
+    envelope.mutable_pool_hello()->set_zone(zone);
+    send(state, grant.host(), std::move(envelope), out);
+  }
+}
+
+// ---- Events -----------------------------------------------------------------
+
+void on_event(host_entry& state, const host_tick& event, host_outbox& out) {
+  say_hello(state, event.now, out);
+  pool_output pooled;
+  tick_pool(state.upstreams, event.now, pooled);
+  absorb(state, std::move(pooled), out);
+  intake_output taken;
+  tick_intake(state.callers, event.now, taken);
+  absorb(state, std::move(taken), out);
+}
+
+void on_event(host_entry& state, const host_call& event, host_outbox& out) {
+  intake_output taken;
+  call_arrived(state.callers, event.call, event.now, taken);
+  absorb(state, std::move(taken), out);
+}
+
+void on_event(host_entry& state,
+              const host_caller_left& event,
+              host_outbox& out) {
+  intake_output taken;
+  caller_left(state.callers, event.exchange, taken);
+  absorb(state, std::move(taken), out);
+}
+
+void on_event(host_entry& state, const host_received& event, host_outbox& out) {
+  receive(state, event.now, event.envelope, out);
+}
+
+void on_event(host_entry& state,
+              const host_order_replied& event,
+              host_outbox& out) {
+  pool_output pooled;
+  order_replied(state.upstreams, event.order, event.reply, event.now, pooled);
+  absorb(state, std::move(pooled), out);
+}
+
+void on_event(host_entry& state, const host_drain& event, host_outbox& out) {
+  state.draining = true;
+  state.hello_ms = 0;
+  say_hello(state, event.now, out);
+}
+
+}  // namespace
+
+host_entry make_host_entry(const host_settings& settings,
+                           uint64_t incarnation,
+                           route_reader read_routes) {
+  host_entry state;
+  state.settings = settings;
+  state.incarnation = incarnation;
+  state.read_routes = std::move(read_routes);
+  state.callers.zone = settings.zone;
+  // Submissions of different processes never share a number.
+  state.callers.next_submission = incarnation;
+  state.upstreams.zone = settings.zone;
+  state.upstreams.options.lease_ms = settings.run_lease_ms;
+  for (const std::string& seed : settings.seeds)
+    state.replicas.try_emplace(seed);
+  return state;
+}
+
+host_effects reduce(host_entry& state, const host_event& event) {
+  host_outbox out;
+  std::visit([&](const auto& kind) { on_event(state, kind, out); }, event);
+  unix_ms now = std::visit([](const auto& kind) { return kind.now; }, event);
+  // Deliveries to this host may lead to more of them.
+  do {
+    std::vector<wire::envelope> inbox = std::move(out.to_self);
+    out.to_self.clear();
+    for (const wire::envelope& envelope : inbox)
+      receive(state, now, envelope, out);
+    pool_output placed;
+    place_tasks(state.upstreams, now, placed);
+    absorb(state, std::move(placed), out);
+  } while (!out.to_self.empty());
+  return std::move(out.effects);
+}
+
+bool is_ready(const host_entry& state) {
+  return state.callers.routes.has_value() && !state.draining;
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/host_entry_daemon.h
@@ -0,0 +1,174 @@
+// The shell of an entry host of a seeded deployment: sockets, timers and
+// signals around the reducer in host_entry.h.
+//
+// `Adapter` knows the formats of callers and upstreams: it reads calls, writes
+// answers, reads the configuration and carries orders.
+#ifndef CYCLAMENWOOD_HOST_ENTRY_DAEMON_H_
+#define CYCLAMENWOOD_HOST_ENTRY_DAEMON_H_
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "cyclamenwood/host_entry.h"
+#include "cyclamenwood/http_server.h"
+#include "cyclamenwood/loop.h"
+#include "cyclamenwood/rpc.h"
+#include "cyclamenwood/util/log.h"
+
+namespace cyclamenwood {
+
+template <typename Adapter>
+class host_entry_daemon {
+ public:
+  explicit host_entry_daemon(const host_settings& settings)
+      : callers_(
+            loop_,
+            limits(),
+            [this](const http_request& request) {
+              handle(host_call{current_time(), Adapter::read_call(request)});
+            },
+            [this](uint64_t exchange) {
+              handle(host_caller_left{current_time(), exchange});
+            }),
+        readiness_(
+            loop_,
+            limits(),
+            [this](const http_request& request) { on_readiness(request); },
+            [](uint64_t /*exchange*/) {}),
+        upstreams_(loop_,
+                   [this](uint64_t order, order_reply reply) {
+                     handle(host_order_replied{current_time(), order,
+                                               std::move(reply)});
+                   }),
+        rpc_({},
+             [this](wire::envelope envelope) {
+               loop_.post([this, envelope = std::move(envelope)] {
+                 handle(host_received{current_time(), envelope});
+               });
+             }),
+        state_(make_host_entry(settings,
+                               draw_incarnation(),
+                               &Adapter::read_routes)),
+        tick_(loop_, TICK_INTERVAL_MS, [this] { on_tick(); }),
+        terminate_(loop_, SIGTERM, [this] { drain(); }),
+        interrupt_(loop_, SIGINT, [this] { drain(); }) {}
+
+  result<done> run() {
+    const host_settings& settings = state_.settings;
+    callers_.capture_headers(Adapter::caller_headers());
+    if (result<done> up = rpc_.listen(settings.rpc); !ok(up))
+      return up;
+    if (result<done> up = callers_.listen(settings.callers); !ok(up))
+      return up;
+    if (result<done> up = readiness_.listen(settings.readiness); !ok(up))
+      return up;
+    log_line(
+        log_level::info, "started",
+        fmt::format("name={} zone={} rpc={} incarnation={:016x}", settings.name,
+                    settings.zone, settings.rpc, state_.incarnation));
+    on_tick();
+    loop_.run();
+    log_line(log_level::info, "stopped",
+             fmt::format("open_exchanges={}", callers_.open_exchanges()));
+    return done{};
+  }
+
+ private:
+  static constexpr int64_t TICK_INTERVAL_MS = 20;
+  // The balancer asks each second and gives up after two misses; until then
+  // connections still come.
+  static constexpr int64_t BALANCER_NOTICE_MS = 2'500;
+  // Left of the stop grace for the exit itself.
+  static constexpr int64_t EXIT_RESERVE_MS = 500;
+  static constexpr int STATUS_OK = 200;
+  static constexpr int STATUS_UNAVAILABLE = 503;
+
+  static http_settings limits() {
+    http_settings limits;
+    limits.max_body_bytes = 1 << 20;
+    limits.max_connections = 3'000;
+    limits.max_connections_per_ip = 3'000;
+    return limits;
+  }
+
+  static uint64_t draw_incarnation() {
+    std::random_device device;
+    // Leaves room above for the submissions that are numbered from here.
+    return (uint64_t{device()} << 32 | device()) >> 1;
+  }
+
+  void on_readiness(const http_request& request) {
+    bool ready = request.path == Adapter::READY_PATH && is_ready(state_);
+    readiness_.respond(request.exchange,
+                       {ready ? STATUS_OK : STATUS_UNAVAILABLE, "{}"});
+  }
+
+  void on_tick() {
+    unix_ms now = current_time();
+    handle(host_tick{now});
+    if (!state_.draining)
+      return;
+    if (now >= close_at_ms_)
+      callers_.close_after_answers();
+    bool idle = now >= close_at_ms_ && callers_.open_exchanges() == 0;
+    if (idle || now >= exit_by_ms_)
+      loop_.stop();
+  }
+
+  void drain() {
+    if (state_.draining)
+      return;
+    unix_ms now = current_time();
+    close_at_ms_ = now + BALANCER_NOTICE_MS;
+    exit_by_ms_ = now + state_.settings.stop_grace_ms - EXIT_RESERVE_MS;
+    log_line(log_level::info, "draining",
+             fmt::format("open_exchanges={}", callers_.open_exchanges()));
+    handle(host_drain{now});
+  }
+
+  void handle(const host_event& event) {
+    host_effects effects = reduce(state_, event);
+    for (const host_effect& effect : effects)
+      std::visit([this](const auto& kind) { execute(kind); }, effect);
+  }
+
+  void execute(const caller_answer& effect) {
+    callers_.respond(effect.exchange, Adapter::write_answer(effect));
+  }
+
+  void execute(const run_order& effect) { upstreams_.send(effect); }
+
+  void execute(const host_send& effect) {
+    bool answers =
+        effect.envelope.has_run_results() || effect.envelope.has_pool_state();
+    // Answers go back on the stream that the other process opened.
+    if (!answers)
+      rpc_.add_peer(effect.host, effect.host);
+    rpc_.send(effect.host, effect.envelope);
+  }
+
+  void execute(const host_note& effect) {
+    log_line(log_level::info, effect.event, effect.details);
+  }
+
+  event_loop loop_;
+  http_server callers_;
+  http_server readiness_;
+  typename Adapter::upstream_client upstreams_;
+  rpc_node rpc_;
+  host_entry state_;
+  periodic_timer tick_;
+  signal_watcher terminate_;
+  signal_watcher interrupt_;
+  unix_ms close_at_ms_ = 0;
+  unix_ms exit_by_ms_ = 0;
+};
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_HOST_ENTRY_DAEMON_H_
--- /dev/null
+++ b/cyclamenwood/host_settings.cc
@@ -0,0 +1,90 @@
+// Seeds are written as the addresses at which operators call them; the
+// processes' own port is the same on every host, so that a seed's `rpc`
+// address is its ip with this host's port.
+#include "cyclamenwood/host_settings.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "cyclamenwood/util/json_reader.h"
+
+namespace cyclamenwood {
+namespace {
+
+constexpr size_t MAX_TEXT_BYTES = 256;
+constexpr int64_t MAX_PORT = 65'535;
+constexpr int64_t MAX_SPAN_MS = 600'000;
+
+std::vector<std::string> read_seeds(json_reader& reader, int64_t rpc_port) {
+  std::vector<std::string> seeds;
+  for (const nlohmann::json& seed : reader.array("seeds", true)) {
+    if (!seed.is_string()) {
+      reader.fail("seeds", "must hold addresses");
+      continue;
+    }
+    std::string ip(ip_of(seed.get<std::string>()));
+    seeds.push_back(fmt::format("{}:{}", ip, rpc_port));
+  }
+  return seeds;
+}
+
+}  // namespace
+
+std::string_view ip_of(std::string_view address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+std::string_view port_of(std::string_view address) {
+  size_t colon = address.rfind(':');
+  return colon == std::string_view::npos ? std::string_view()
+                                         : address.substr(colon + 1);
+}
+
+result<host_settings> parse_host_settings(std::string_view text) {
+  result<nlohmann::json> document =
+      parse_json(text, true, error_code::settings_invalid);
+  if (!ok(document))
+    return failure(document);
+  json_reader reader(value(document), "", error_code::settings_invalid);
+  host_settings parsed;
+  parsed.name = reader.text("name", 1, MAX_TEXT_BYTES);
+  parsed.zone = reader.text("zone", 1, MAX_TEXT_BYTES);
+  std::string ip = reader.text("ip", 1, MAX_TEXT_BYTES);
+  int64_t rpc_port = reader.integer("rpc_port", 1, MAX_PORT);
+  parsed.rpc = fmt::format("{}:{}", ip, rpc_port);
+  parsed.callers = reader.text("callers", 0, MAX_TEXT_BYTES, "");
+  parsed.readiness = reader.text("readiness", 0, MAX_TEXT_BYTES, "");
+  parsed.control = reader.text("control", 0, MAX_TEXT_BYTES, "");
+  parsed.seeds = read_seeds(reader, rpc_port);
+  parsed.bootstrap = reader.boolean("bootstrap", false);
+  parsed.data_folder = reader.text("data_folder", 0, MAX_TEXT_BYTES, "");
+  parsed.run_lease_ms =
+      reader.integer("run_lease_ms", 1, MAX_SPAN_MS, parsed.run_lease_ms);
+  const nlohmann::json* grace = reader.member("stop_grace_s");
+  if (grace != nullptr && grace->is_number() && *grace > 0)
+    parsed.stop_grace_ms =
+        static_cast<int64_t>(grace->get<double>() * MS_PER_SECOND);
+  else if (grace != nullptr)
+    reader.fail("stop_grace_s", "must be a positive number");
+  if (std::optional<error> failed = reader.finish())
+    return *failed;
+  return parsed;
+}
+
+result<host_settings> load_host_settings(const std::string& path) {
+  std::ifstream input(path);
+  if (!input)
+    return error{error_code::settings_invalid,
+                 fmt::format("{}: can't be read", path)};
+  std::ostringstream text;
+  text << input.rdbuf();
+  result<host_settings> parsed = parse_host_settings(text.view());
+  if (!ok(parsed))
+    return error{error_code::settings_invalid,
+                 fmt::format("{}: {}", path, failure(parsed).argument)};
+  return parsed;
+}
+
+}  // namespace cyclamenwood
--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -5,8 +5,10 @@
 #include "cyclamenwood/http_server.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <charconv>
 #include <map>
@@ -16,17 +18,8 @@
 namespace {
 
 constexpr int64_t HOUSEKEEPING_INTERVAL_MS = 250;
-
-// One request on its way.
-struct exchange_state {
-  uint64_t id = 0;
-  MHD_Connection* connection = nullptr;
-  http_request request;
-  bool too_large = false;
-  bool handled = false;
-  bool suspended = false;
-  std::optional<api_answer> answer;
-};
+// Never seen by anyone: the connection is closed already.
+constexpr int STATUS_CALLER_GONE = 503;
 
 result<sockaddr_in> parse_address(const std::string& address) {
   size_t colon = address.rfind(':');
@@ -45,6 +38,21 @@
 }  // namespace
 
 struct http_server::implementation {
+  // One request on its way.
+  struct exchange_state {
+    uint64_t id = 0;
+    MHD_Connection* connection = nullptr;
+    http_request request;
+    bool too_large = false;
+    bool handled = false;
+    bool suspended = false;
+    std::optional<api_answer> answer;
+    // Watches a suspended connection, which libmicrohttpd does not, for its
+    // caller's leaving.
+    ev_io caller{};
+    implementation* server = nullptr;
+  };
+
   event_loop& loop;
   http_settings limits;
   handler handle;
@@ -53,6 +61,7 @@
   ev_io readiness{};
   std::unique_ptr<periodic_timer> housekeeping;
   std::map<uint64_t, exchange_state*> exchanges;
+  std::vector<std::string> captured_headers;
   uint64_t next_exchange = 1;
   bool closing = false;
   bool running = false;
@@ -88,6 +97,8 @@
         answer.body.size(), const_cast<char*>(answer.body.data()),
         MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(response, "Content-Type", "application/json");
+    for (const auto& [name, text] : answer.headers)
+      MHD_add_response_header(response, name.c_str(), text.c_str());
     if (closing)
       MHD_add_response_header(response, "Connection", "close");
     MHD_Result queued =
@@ -122,6 +133,12 @@
     exchange->request.exchange = exchange->id;
     exchange->request.method = method;
     exchange->request.path = url;
+    for (const std::string& name : captured_headers) {
+      const char* text = MHD_lookup_connection_value(
+          connection, MHD_HEADER_KIND, name.c_str());
+      if (text != nullptr)
+        exchange->request.headers[name] = text;
+    }
     exchanges[exchange->id] = exchange;
     *context = exchange;
     if (!announces_too_much(connection))
@@ -155,9 +172,50 @@
       return queue(exchange);
     exchange.suspended = true;
     MHD_suspend_connection(exchange.connection);
+    watch_caller(exchange);
     return MHD_YES;
   }
 
+  void watch_caller(exchange_state& exchange) {
+    const MHD_ConnectionInfo* info = MHD_get_connection_info(
+        exchange.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info == nullptr)
+      return;
+    exchange.server = this;
+    ev_io_init(&exchange.caller, &implementation::on_caller, info->connect_fd,
+               EV_READ);
+    exchange.caller.data = &exchange;
+    ev_io_start(loop.raw(), &exchange.caller);
+  }
+
+  // Resumes a suspended exchange; the next run queues its answer.
+  void resume(exchange_state& exchange) {
+    ev_io_stop(loop.raw(), &exchange.caller);
+    exchange.suspended = false;
+    MHD_resume_connection(exchange.connection);
+    run();
+  }
+
+  // Bytes of a next request stop the watch; the end of the stream or an error
+  // says that nobody waits for the answer any more.
+  static void on_caller(struct ev_loop* loop, ev_io* watcher, int /*events*/) {
+    auto& exchange = *static_cast<exchange_state*>(watcher->data);
+    char byte = 0;
+    ssize_t got = ::recv(watcher->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    bool spurious = got < 0 && (errno == EAGAIN || errno == EINTR);
+    if (spurious)
+      return;
+    if (got > 0) {
+      ev_io_stop(loop, watcher);
+      return;
+    }
+    implementation& self = *exchange.server;
+    uint64_t id = exchange.id;
+    exchange.answer = api_answer{STATUS_CALLER_GONE, "", {}};
+    self.resume(exchange);
+    self.gone(id);
+  }
+
   static MHD_Result on_access(void* self,
                               MHD_Connection* connection,
                               const char* url,
@@ -214,8 +272,10 @@
     return;
   ev_io_stop(self.loop.raw(), &self.readiness);
   for (auto& [id, exchange] : self.exchanges) {
-    if (exchange->suspended)
-      MHD_resume_connection(exchange->connection);
+    if (!exchange->suspended)
+      continue;
+    ev_io_stop(self.loop.raw(), &exchange->caller);
+    MHD_resume_connection(exchange->connection);
   }
   MHD_stop_daemon(self.daemon);
 }
@@ -258,9 +318,11 @@
   found->second->answer = answer;
   if (!found->second->suspended)
     return;
-  found->second->suspended = false;
-  MHD_resume_connection(found->second->connection);
-  self.run();
+  self.resume(*found->second);
+}
+
+void http_server::capture_headers(std::vector<std::string> names) {
+  implementation_->captured_headers = std::move(names);
 }
 
 void http_server::close_after_answers() {
--- a/cyclamenwood/http_server.h
+++ b/cyclamenwood/http_server.h
@@ -11,8 +11,10 @@
 #define CYCLAMENWOOD_HTTP_SERVER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "cyclamenwood/api.h"
 #include "cyclamenwood/error.h"
@@ -28,6 +30,8 @@
   // Without the query string.
   std::string path;
   std::string body;
+  // Those of `captured_headers` that the request has.
+  std::map<std::string, std::string> headers;
 };
 
 class http_server {
@@ -43,6 +47,9 @@
   http_server& operator=(const http_server&) = delete;
   ~http_server();
 
+  // Names of the request headers that handlers want to see. Before `listen`.
+  void capture_headers(std::vector<std::string> names);
+
   result<done> listen(const std::string& address);
 
   // Answers an exchange; unknown and answered exchanges are ignored.
--- /dev/null
+++ b/cyclamenwood/intake.h
@@ -0,0 +1,162 @@
+// The callers' part of an entry host: jobs that wait for their answer here.
+//
+// A job's steps are sent to the owner of an availability zone's upstreams, its
+// tasks are reported back one by one, and the caller is answered when all have
+// ended. Nothing is stored: a job lives as long as its caller's connection.
+//
+//   intake intake;
+//   learn_routes(intake, table);
+//   call_arrived(intake, call, now, out);
+//   ... run results, pool states, grants, ticks ...
+//
+// Which zone. The own zone's pool is used unless it has work queued and
+// another zone has room for the whole step now.
+#ifndef CYCLAMENWOOD_INTAKE_H_
+#define CYCLAMENWOOD_INTAKE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cyclamenwood/error.h"
+#include "cyclamenwood/route_table.h"
+#include "cyclamenwood/types.h"
+#include "cyclamenwood/wire.pb.h"
+
+namespace cyclamenwood {
+
+// One step of a job: `count` equal tasks.
+struct step_spec {
+  uint32_t count = 0;
+  wire::room need;
+  int64_t estimate_ms = 0;
+  // Earlier steps that must be complete.
+  std::vector<uint32_t> depends_on;
+  // A label that the upstream must have; empty: any.
+  std::string label;
+  // The rack where the data is; empty: any.
+  std::string rack;
+};
+
+struct job_spec {
+  std::string spec;
+  std::vector<step_spec> steps;
+  // The job is answered when it has ended, and not stored.
+  bool best_effort = false;
+  // What the job asks for that is not served here; empty: nothing.
+  std::string not_served;
+};
+
+enum class call_kind { submit, show, cancel };
+
+// A request of a caller, read but not yet looked up.
+struct caller_call {
+  uint64_t exchange = 0;
+  call_kind kind = call_kind::submit;
+  std::string host;
+  std::string path;
+  // How long the caller waits; 0: not told.
+  int64_t wait_ms = 0;
+  // Submissions only.
+  result<job_spec> job;
+};
+
+enum class caller_outcome {
+  completed,
+  // A task failed as often as its route allows.
+  failed,
+  // Nothing has run nor will.
+  refused,
+  // Some of it may have run.
+  unknown,
+  no_route,
+  no_job,
+  malformed,
+  // `pending` jobs of the queue have not begun.
+  count,
+  cancelled,
+};
+
+struct caller_answer {
+  uint64_t exchange = 0;
+  caller_outcome outcome = caller_outcome::refused;
+  // When a refused caller may come back.
+  int64_t retry_after_ms = 0;
+  int64_t pending = 0;
+};
+
+struct intake_step {
+  bool sent = false;
+  // Results still missing.
+  std::vector<bool> ended;
+  uint32_t missing = 0;
+};
+
+struct intake_job {
+  std::string id;
+  std::vector<uint64_t> exchanges;
+  route queue;
+  job_spec job;
+  std::vector<intake_step> steps;
+  unix_ms arrived_ms = 0;
+  unix_ms deadline_ms = 0;
+  unix_ms aim_ms = 0;
+  // Where the tasks were sent; empty: nowhere so far.
+  std::string zone;
+  uint64_t token = 0;
+  unix_ms sent_ms = 0;
+  // A task may have begun.
+  bool started = false;
+};
+
+struct known_pool {
+  wire::pool_state state;
+  unix_ms heard_ms = 0;
+};
+
+struct intake {
+  std::string zone;
+  uint64_t next_submission = 1;
+  std::optional<route_table> routes;
+  // By zone.
+  std::map<std::string, wire::owner_grant> grants;
+  std::map<std::string, known_pool> pools;
+  std::map<uint64_t, intake_job> jobs;
+  // Submissions by the job's id.
+  std::map<std::string, uint64_t> by_id;
+};
+
+struct intake_note {
+  std::string event;
+  std::string details;
+};
+
+struct intake_output {
+  std::vector<caller_answer> answers;
+  std::vector<std::pair<std::string, wire::envelope>> messages;
+  std::vector<intake_note> notes;
+};
+
+void call_arrived(intake& intake,
+                  const caller_call& call,
+                  unix_ms now,
+                  intake_output& out);
+// The caller closed its connection.
+void caller_left(intake& intake, uint64_t exchange, intake_output& out);
+
+void learn_grants(intake& intake,
+                  const wire::control_news& news,
+                  unix_ms now,
+                  intake_output& out);
+void hear_pool(intake& intake, const wire::pool_state& state, unix_ms now);
+void take_results(intake& intake,
+                  const std::string& from,
+                  const wire::run_results& results,
+                  unix_ms now,
+                  intake_output& out);
+void tick_intake(intake& intake, unix_ms now, intake_output& out);
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_INTAKE_H_
--- a/cyclamenwood/loop.cc
+++ b/cyclamenwood/loop.cc
@@ -2,6 +2,8 @@
 // run without it, so that a task may post again.
 #include "cyclamenwood/loop.h"
 
+#include <time.h>
+
 #include <chrono>
 #include <utility>
 
@@ -9,10 +11,14 @@
 namespace {
 
 constexpr double MS = 1000.0;
+constexpr int64_t NS_PER_MS = 1'000'000;
 
+// Time since boot, suspends included: a lease runs out while its host sleeps.
 int64_t monotonic_ms() {
-  auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return static_cast<int64_t>(now.tv_sec) * MS_PER_SECOND +
+         now.tv_nsec / NS_PER_MS;
 }
 
 int64_t wall_ms() {
--- a/cyclamenwood/loop.h
+++ b/cyclamenwood/loop.h
@@ -19,8 +19,8 @@
 
 namespace cyclamenwood {
 
-// Wall-clock time at the start plus elapsed monotonic time, so that it never
-// goes back while a process runs.
+// Wall-clock time at the start plus the time elapsed since, suspends included,
+// so that it never goes back while a process runs.
 unix_ms current_time();
 
 // Microseconds of the monotonic clock, for measuring spans.
--- /dev/null
+++ b/cyclamenwood/order.cc
@@ -0,0 +1,30 @@
+// Names of outcomes, for logs.
+#include "cyclamenwood/order.h"
+
+namespace cyclamenwood {
+
+std::string_view to_string(order_outcome outcome) {
+  switch (outcome) {
+    case order_outcome::accepted:
+      return "accepted";
+    case order_outcome::stale_token:
+      return "stale_token";
+    case order_outcome::stale_attempt:
+      return "stale_attempt";
+    case order_outcome::late:
+      return "late";
+    case order_outcome::no_room:
+      return "no_room";
+    case order_outcome::invalid:
+      return "invalid";
+    case order_outcome::unhealthy:
+      return "unhealthy";
+    case order_outcome::other_incarnation:
+      return "other_incarnation";
+    case order_outcome::unanswered:
+      return "unanswered";
+  }
+  return "unanswered";
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/owner_policy.h
@@ -0,0 +1,43 @@
+// Decides which entry host shall own each availability zone's upstreams.
+//
+// Only a process of the zone itself is chosen, so that a zone that is cut off
+// keeps its owner. An owner is replaced when it has not been heard for the
+// timeout, was restarted, or drains, and another process of its zone can take
+// over.
+#ifndef CYCLAMENWOOD_OWNER_POLICY_H_
+#define CYCLAMENWOOD_OWNER_POLICY_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cyclamenwood/control_log.h"
+#include "cyclamenwood/types.h"
+
+namespace cyclamenwood {
+
+// An owner that was silent for this long is replaced: three hellos in a row
+// missed. Shorter than a run's lease, so that its runs may still be adopted.
+constexpr int64_t OWNER_SILENCE_MS = 700;
+
+// What a replica knows of one entry host.
+struct known_entry_host {
+  std::string zone;
+  uint64_t incarnation = 0;
+  bool draining = false;
+  unix_ms first_heard_ms = 0;
+  unix_ms heard_ms = 0;
+  uint64_t sent_version = 0;
+  uint64_t sent_change = 0;
+};
+
+using entry_host_map = std::map<std::string, known_entry_host>;
+
+// Grants to propose now; tokens are not set.
+std::vector<wire::owner_grant> choose_owners(const control_log& log,
+                                             const entry_host_map& hosts,
+                                             unix_ms now);
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_OWNER_POLICY_H_
--- /dev/null
+++ b/cyclamenwood/pool.h
@@ -0,0 +1,208 @@
+// The owner's part of an entry host: the upstreams of one availability zone
+// and the tasks that run on them.
+//
+// A pool takes requests for tasks from entry hosts, queues them, places them
+// where there is room, starts them under leases and reports how they ended.
+//
+//   pool_state pool;
+//   own_pool(pool, token, now, out);                 // a grant came
+//   request_runs(pool, "10.1.0.13:7720", request, now, out);
+//   order_replied(pool, order, reply, now, out);
+//   tick_pool(pool, now, out);
+//   ... every change ends with: place_tasks(pool, now, out);
+//
+// A task has at most one unsettled run. A run is settled when its end is
+// listed, when its stop is acknowledged and a later list lacks it, or when
+// every lease that was ever asked for its upstream has run out.
+//
+// A new owner reads the lists first. What runs there is adopted when an entry
+// host asks for it, or stopped after ADOPTION_MS.
+#ifndef CYCLAMENWOOD_POOL_H_
+#define CYCLAMENWOOD_POOL_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "cyclamenwood/order.h"
+#include "cyclamenwood/types.h"
+#include "cyclamenwood/wire.pb.h"
+
+namespace cyclamenwood {
+
+// An entry host that is silent for this long has lost its jobs here: three of
+// its hellos are missing. Together with a stop it stays under the time after
+// which callers send a job again.
+constexpr int64_t PEER_SILENCE_MS = 600;
+// How long a new owner waits for entry hosts to ask for what runs.
+constexpr int64_t ADOPTION_MS = 400;
+
+enum class run_state {
+  // Ordered; not known to run.
+  starting,
+  running,
+  // Its stop is ordered; the room is not free yet.
+  stopping,
+};
+
+// One attempt of a task on an upstream.
+struct leased_run {
+  // 0: found on the upstream, asked for by nobody so far.
+  uint64_t submission = 0;
+  uint32_t task = 0;
+  uint32_t attempt = 0;
+  wire::room need;
+  run_state state = run_state::starting;
+  // Starts sent for this attempt without an answer.
+  int unanswered_starts = 0;
+  // When the current order is sent again.
+  unix_ms resend_ms = 0;
+  // From then on a list that lacks the run says that it is over.
+  unix_ms listed_from_ms = INT64_MAX;
+  unix_ms found_ms = 0;
+  // The task goes back to the queue when this run is settled.
+  bool wanted_elsewhere = false;
+};
+
+struct leased_upstream {
+  wire::upstream info;
+  // A list was read under the current token.
+  bool listed = false;
+  // Upstream's clock less ours.
+  std::optional<int64_t> clock_offset_ms;
+  unix_ms clock_read_ms = 0;
+  // Our time by which every lease that was asked for has run out.
+  unix_ms leases_over_ms = 0;
+  uint64_t last_seen = 0;
+  // The hold under way; 0: none.
+  uint64_t hold_order = 0;
+  unix_ms hold_sent_ms = 0;
+  // The last hold was answered. Until then no lease is renewed, so that its
+  // runs come to an end if the upstream is cut off.
+  bool reachable = true;
+  unix_ms next_hold_ms = 0;
+  unix_ms heard_ms = 0;
+  // No new work before this time.
+  unix_ms rest_until_ms = 0;
+  // Failed runs since the last success.
+  int failures = 0;
+  // By task name.
+  std::map<std::string, leased_run> runs;
+};
+
+struct pool_task {
+  bool queued = true;
+  bool started = false;
+  uint32_t failures = 0;
+  uint32_t next_attempt = 1;
+  std::set<std::string> failed_on;
+  wire::run_outcome outcome = wire::RUN_UNSPECIFIED;
+};
+
+// Tasks of one step that one entry host asked for.
+struct pool_job {
+  std::string from;
+  wire::run_request request;
+  unix_ms deadline_ms = 0;
+  unix_ms aim_ms = 0;
+  std::map<uint32_t, pool_task> tasks;
+};
+
+// A request that names (submission, step).
+using pool_job_id = std::pair<uint64_t, uint32_t>;
+
+struct pool_peer {
+  unix_ms heard_ms = 0;
+  uint64_t incarnation = 0;
+};
+
+// Order of service: priority, then the latest useful start, then arrival.
+using queue_key = std::tuple<uint32_t, unix_ms, pool_job_id>;
+
+struct pool_options {
+  int64_t lease_ms = 1000;
+};
+
+struct pool {
+  std::string zone;
+  pool_options options;
+  // 0: not the owner.
+  uint64_t token = 0;
+  // The highest token ever held: one that was lost is never used again.
+  uint64_t highest_token = 0;
+  unix_ms owned_since_ms = 0;
+  uint64_t next_order = 1;
+  // Orders under way: the upstream and, but for holds, the task.
+  std::map<uint64_t, run_order> orders;
+  std::map<std::string, leased_upstream> upstreams;
+  std::map<pool_job_id, pool_job> jobs;
+  std::map<std::string, pool_peer> peers;
+  std::set<queue_key> queue;
+  // Task names with an unsettled run, and where it is.
+  std::map<std::string, std::string> placed;
+  // Ends that a new owner found and that nobody has asked for yet.
+  std::map<std::string, std::pair<run_end, unix_ms>> found_ends;
+};
+
+// What the pool wants done.
+struct pool_note {
+  std::string event;
+  std::string details;
+};
+
+struct pool_output {
+  std::vector<run_order> orders;
+  std::vector<std::pair<std::string, wire::run_results>> results;
+  std::vector<pool_note> notes;
+  // A fence rejected an order: this process owns nothing any more.
+  bool lost = false;
+};
+
+void own_pool(pool& pool, uint64_t token, unix_ms now, pool_output& out);
+// Forgets all: another process owns the upstreams.
+void disown_pool(pool& pool);
+
+// An upstream appeared or changed.
+void learn_upstream(pool& pool,
+                    const wire::upstream& heard,
+                    unix_ms now,
+                    pool_output& out);
+
+void request_runs(pool& pool,
+                  const std::string& from,
+                  const wire::run_request& request,
+                  unix_ms now,
+                  pool_output& out);
+void release_runs(pool& pool,
+                  uint64_t submission,
+                  unix_ms now,
+                  pool_output& out);
+// An entry host is alive.
+void hear_peer(pool& pool,
+               const std::string& host,
+               uint64_t incarnation,
+               unix_ms now,
+               pool_output& out);
+
+void order_replied(pool& pool,
+                   uint64_t order,
+                   const order_reply& reply,
+                   unix_ms now,
+                   pool_output& out);
+
+void tick_pool(pool& pool, unix_ms now, pool_output& out);
+
+// Starts what can be started. Ends each series of changes.
+void place_tasks(pool& pool, unix_ms now, pool_output& out);
+
+// Free and queued room by service, for the choice of a zone.
+wire::pool_state describe_pool(const pool& pool, unix_ms now);
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_POOL_H_
--- /dev/null
+++ b/cyclamenwood/pool_internal.h
@@ -0,0 +1,59 @@
+// Functions that the files of the pool share; not part of the interface.
+#ifndef CYCLAMENWOOD_POOL_INTERNAL_H_
+#define CYCLAMENWOOD_POOL_INTERNAL_H_
+
+#include <string>
+
+#include "cyclamenwood/pool.h"
+
+namespace cyclamenwood {
+
+// "JOB.0.STEP.TASK": the name by which upstreams know a task.
+std::string task_name(const wire::run_request& request, uint32_t task);
+
+// ---- pool_jobs.cc -----------------------------------------------------------
+
+pool_job* find_job(pool& pool, uint64_t submission, const std::string& name);
+
+// Binds a run or an end that a new owner found to the task that it is of.
+bool adopt_task(pool& pool, pool_job& job, uint32_t task, pool_output& out);
+
+void enqueue_task(pool& pool, pool_job& job, uint32_t task);
+void settle_task(pool& pool,
+                 pool_job& job,
+                 uint32_t task,
+                 wire::run_outcome outcome,
+                 pool_output& out);
+
+// What a settled run means for its task.
+void task_run_over(pool& pool,
+                   const std::string& name,
+                   const leased_run& run,
+                   const std::string& upstream,
+                   run_end how,
+                   pool_output& out);
+
+void expire_peers(pool& pool, unix_ms now, pool_output& out);
+
+// ---- pool_runs.cc -----------------------------------------------------------
+
+void start_run(pool& pool,
+               leased_upstream& upstream,
+               const pool_job& job,
+               uint32_t task,
+               unix_ms now,
+               pool_output& out);
+void stop_run(pool& pool,
+              leased_upstream& upstream,
+              const std::string& name,
+              unix_ms now,
+              pool_output& out);
+
+// ---- pool_place.cc ----------------------------------------------------------
+
+wire::room free_room(const leased_upstream& upstream);
+queue_key key_of(const pool_job& job);
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_POOL_INTERNAL_H_
--- /dev/null
+++ b/cyclamenwood/pool_jobs.cc
@@ -0,0 +1,228 @@
+// Requests and results. A request may come again, from the same entry host
+// because results are missing, or from another one because a caller sent its
+// job again there: the newest sender gets the job, and runs of the former one
+// are stopped first.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "cyclamenwood/pool_internal.h"
+
+namespace cyclamenwood {
+namespace {
+
+void add_result(pool_output& out,
+                const pool_job& job,
+                uint32_t task,
+                const pool_task& state) {
+  wire::run_result result;
+  result.set_submission(job.request.submission());
+  result.set_step(job.request.step());
+  result.set_task(task);
+  result.set_outcome(state.outcome);
+  result.set_started(state.started);
+  for (auto& [host, results] : out.results) {
+    if (host == job.from) {
+      *results.add_results() = std::move(result);
+      return;
+    }
+  }
+  out.results.emplace_back(job.from, wire::run_results());
+  *out.results.back().second.add_results() = std::move(result);
+}
+
+// Ends the same job's submissions by others.
+void supersede(pool& pool,
+               const wire::run_request& request,
+               unix_ms now,
+               pool_output& out) {
+  std::vector<uint64_t> former;
+  for (const auto& [id, job] : pool.jobs) {
+    if (job.request.job() == request.job() && id.first != request.submission())
+      former.push_back(id.first);
+  }
+  for (uint64_t submission : former) {
+    out.notes.push_back(
+        {"job_superseded", fmt::format("job={}", request.job())});
+    release_runs(pool, submission, now, out);
+  }
+}
+
+void drop_peer_jobs(pool& pool,
+                    const std::string& host,
+                    unix_ms now,
+                    pool_output& out) {
+  std::set<uint64_t> submissions;
+  for (const auto& [id, job] : pool.jobs) {
+    if (job.from == host)
+      submissions.insert(id.first);
+  }
+  for (uint64_t submission : submissions)
+    release_runs(pool, submission, now, out);
+  if (!submissions.empty())
+    out.notes.push_back({"entry_host_lost", fmt::format("host={} jobs={}", host,
+                                                        submissions.size())});
+}
+
+}  // namespace
+
+std::string task_name(const wire::run_request& request, uint32_t task) {
+  return fmt::format("{}.0.{}.{}", request.job(), request.step(), task);
+}
+
+pool_job* find_job(pool& pool, uint64_t submission, const std::string& name) {
+  for (auto found = pool.jobs.lower_bound({submission, 0});
+       found != pool.jobs.end() && found->first.first == submission; ++found) {
+    std::string prefix = fmt::format("{}.0.{}.", found->second.request.job(),
+                                     found->second.request.step());
+    if (name.starts_with(prefix))
+      return &found->second;
+  }
+  return nullptr;
+}
+
+bool adopt_task(pool& pool, pool_job& job, uint32_t task, pool_output& out) {
+  std::string name = task_name(job.request, task);
+  auto ended = pool.found_ends.find(name);
+  if (ended != pool.found_ends.end() && ended->second.first == run_end::done) {
+    job.tasks[task].started = true;
+    settle_task(pool, job, task, wire::RUN_DONE, out);
+    pool.found_ends.erase(ended);
+    return true;
+  }
+  auto placed = pool.placed.find(name);
+  if (placed == pool.placed.end())
+    return false;
+  leased_run& run = pool.upstreams[placed->second].runs[name];
+  if (run.submission != 0 || run.state == run_state::stopping)
+    return false;
+  run.submission = job.request.submission();
+  run.task = task;
+  run.need = job.request.need();
+  pool_task& state = job.tasks[task];
+  state.queued = false;
+  state.started = true;
+  state.next_attempt = run.attempt + 1;
+  return true;
+}
+
+void enqueue_task(pool& pool, pool_job& job, uint32_t task) {
+  job.tasks[task].queued = true;
+  pool.queue.insert(key_of(job));
+}
+
+void settle_task(pool& pool,
+                 pool_job& job,
+                 uint32_t task,
+                 wire::run_outcome outcome,
+                 pool_output& out) {
+  pool_task& state = job.tasks[task];
+  state.queued = false;
+  state.outcome = outcome;
+  bool waits = std::any_of(job.tasks.begin(), job.tasks.end(),
+                           [](const auto& item) { return item.second.queued; });
+  if (!waits)
+    pool.queue.erase(key_of(job));
+  add_result(out, job, task, state);
+}
+
+void task_run_over(pool& pool,
+                   const std::string& name,
+                   const leased_run& run,
+                   const std::string& upstream,
+                   run_end how,
+                   pool_output& out) {
+  pool_job* job = find_job(pool, run.submission, name);
+  if (job == nullptr)
+    return;
+  pool_task& task = job->tasks[run.task];
+  if (task.outcome != wire::RUN_UNSPECIFIED)
+    return;
+  if (how == run_end::done) {
+    task.started = true;
+    settle_task(pool, *job, run.task, wire::RUN_DONE, out);
+    return;
+  }
+  if (how == run_end::failed) {
+    ++task.failures;
+    task.failed_on.insert(upstream);
+  }
+  task.next_attempt = std::max(task.next_attempt, run.attempt + 1);
+  if (task.failures >= job->request.max_attempts()) {
+    settle_task(pool, *job, run.task, wire::RUN_FAILED, out);
+    return;
+  }
+  enqueue_task(pool, *job, run.task);
+}
+
+void request_runs(pool& pool,
+                  const std::string& from,
+                  const wire::run_request& request,
+                  unix_ms now,
+                  pool_output& out) {
+  if (pool.token == 0)
+    return;
+  supersede(pool, request, now, out);
+  pool_job_id id{request.submission(), request.step()};
+  auto [found, added] = pool.jobs.try_emplace(id);
+  pool_job& job = found->second;
+  job.from = from;
+  if (added) {
+    job.request = request;
+    job.request.clear_tasks();
+    job.deadline_ms = now + request.remaining_ms();
+    job.aim_ms = now + request.aim_ms();
+  }
+  for (uint32_t task : request.tasks()) {
+    auto [state, is_new] = job.tasks.try_emplace(task);
+    if (state->second.outcome != wire::RUN_UNSPECIFIED)
+      add_result(out, job, task, state->second);
+    else if (is_new && !adopt_task(pool, job, task, out))
+      enqueue_task(pool, job, task);
+  }
+}
+
+void release_runs(pool& pool,
+                  uint64_t submission,
+                  unix_ms now,
+                  pool_output& out) {
+  auto found = pool.jobs.lower_bound({submission, 0});
+  while (found != pool.jobs.end() && found->first.first == submission) {
+    pool_job& job = found->second;
+    pool.queue.erase(key_of(job));
+    for (const auto& [task, state] : job.tasks) {
+      auto placed = pool.placed.find(task_name(job.request, task));
+      if (placed == pool.placed.end())
+        continue;
+      leased_upstream& upstream = pool.upstreams[placed->second];
+      if (upstream.runs[placed->first].submission == submission)
+        stop_run(pool, upstream, placed->first, now, out);
+    }
+    found = pool.jobs.erase(found);
+  }
+}
+
+void hear_peer(pool& pool,
+               const std::string& host,
+               uint64_t incarnation,
+               unix_ms now,
+               pool_output& out) {
+  auto [found, added] = pool.peers.try_emplace(host);
+  if (!added && found->second.incarnation != incarnation)
+    drop_peer_jobs(pool, host, now, out);
+  found->second = {now, incarnation};
+}
+
+void expire_peers(pool& pool, unix_ms now, pool_output& out) {
+  std::vector<std::string> silent;
+  for (const auto& [host, peer] : pool.peers) {
+    if (now - peer.heard_ms > PEER_SILENCE_MS)
+      silent.push_back(host);
+  }
+  for (const std::string& host : silent) {
+    drop_peer_jobs(pool, host, now, out);
+    pool.peers.erase(host);
+  }
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/pool_place.cc
@@ -0,0 +1,176 @@
+// Placement and order of service.
+//
+// Tasks are taken in the order of their jobs' keys and each goes to the
+// upstream where it leaves the least processor room, so that large holes stay
+// whole for large tasks. A task that fits nowhere is passed over.
+//
+// Answers load that is near the room with bursts above it: a queue then holds
+// jobs of all priorities, and those that can't end in time any more only take
+// room from those that can.
+#include <algorithm>
+#include <optional>
+
+#include "cyclamenwood/pool_internal.h"
+
+namespace cyclamenwood {
+namespace {
+
+bool fits(const wire::room& need, const wire::room& free) {
+  return need.cpu_milli() <= free.cpu_milli() &&
+         need.memory_mb() <= free.memory_mb() &&
+         need.accelerators() <= free.accelerators();
+}
+
+bool has_label(const wire::upstream& upstream, const std::string& label) {
+  return label.empty() ||
+         std::find(upstream.labels().begin(), upstream.labels().end(), label) !=
+             upstream.labels().end();
+}
+
+bool may_take_work(const leased_upstream& upstream, unix_ms now) {
+  return upstream.listed && upstream.reachable &&
+         upstream.info.state() == wire::UPSTREAM_READY &&
+         now >= upstream.rest_until_ms;
+}
+
+// Better is smaller: not failed there before, near its data, fullest.
+using preference = std::tuple<bool, bool, int64_t>;
+
+leased_upstream* choose_upstream(pool& pool,
+                                 const pool_job& job,
+                                 const pool_task& task,
+                                 unix_ms now) {
+  const wire::run_request& request = job.request;
+  leased_upstream* best = nullptr;
+  preference best_preference;
+  for (auto& [id, upstream] : pool.upstreams) {
+    if (!may_take_work(upstream, now) ||
+        upstream.info.service() != request.service() ||
+        !has_label(upstream.info, request.label()))
+      continue;
+    wire::room free = free_room(upstream);
+    if (!fits(request.need(), free))
+      continue;
+    preference offered{task.failed_on.contains(id),
+                       !has_label(upstream.info, request.rack()),
+                       free.cpu_milli() - request.need().cpu_milli()};
+    if (best == nullptr || offered < best_preference) {
+      best = &upstream;
+      best_preference = offered;
+    }
+  }
+  return best;
+}
+
+bool is_expired(const pool_job& job, unix_ms now) {
+  return now + job.request.estimate_ms() / 2 > job.deadline_ms;
+}
+
+void expire_job(pool& pool, pool_job& job, pool_output& out) {
+  for (auto& [index, task] : job.tasks) {
+    if (task.queued)
+      settle_task(pool, job, index, wire::RUN_EXPIRED, out);
+  }
+}
+
+// A former owner's runs may still be unlisted: a resumed job waits until all
+// reachable upstreams are, or until no lease of that owner can last.
+bool must_wait_for_lists(const pool& pool, const pool_job& job, unix_ms now) {
+  if (!job.request.resumed() ||
+      now > pool.owned_since_ms + pool.options.lease_ms + ADOPTION_MS)
+    return false;
+  return std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
+                     [](const auto& item) { return !item.second.listed; });
+}
+
+// Places what fits. Returns whether tasks of the job are still queued.
+bool place_job(pool& pool, pool_job& job, unix_ms now, pool_output& out) {
+  bool waits = false;
+  for (auto& [index, task] : job.tasks) {
+    if (!task.queued || adopt_task(pool, job, index, out))
+      continue;
+    bool busy = pool.placed.contains(task_name(job.request, index));
+    leased_upstream* upstream =
+        busy ? nullptr : choose_upstream(pool, job, task, now);
+    if (upstream == nullptr) {
+      waits = true;
+      continue;
+    }
+    task.queued = false;
+    start_run(pool, *upstream, job, index, now, out);
+  }
+  return waits;
+}
+
+}  // namespace
+
+wire::room free_room(const leased_upstream& upstream) {
+  int64_t cpu = upstream.info.capacity().cpu_milli();
+  int64_t memory = upstream.info.capacity().memory_mb();
+  int64_t accelerators = upstream.info.capacity().accelerators();
+  for (const auto& [name, run] : upstream.runs) {
+    cpu -= run.need.cpu_milli();
+    memory -= run.need.memory_mb();
+    accelerators -= run.need.accelerators();
+  }
+  wire::room free;
+  free.set_cpu_milli(std::max<int64_t>(cpu, 0));
+  free.set_memory_mb(std::max<int64_t>(memory, 0));
+  free.set_accelerators(std::max<int64_t>(accelerators, 0));
+  return free;
+}
+
+queue_key key_of(const pool_job& job) {
+  return {job.request.priority(),
+          job.aim_ms - job.request.estimate_ms(),
+          {job.request.submission(), job.request.step()}};
+}
+
+void place_tasks(pool& pool, unix_ms now, pool_output& out) {
+  if (pool.token == 0)
+    return;
+  std::vector<queue_key> waiting(pool.queue.begin(), pool.queue.end());
+  for (const queue_key& key : waiting) {
+    pool_job& job = pool.jobs.at(std::get<2>(key));
+    if (is_expired(job, now)) {
+      expire_job(pool, job, out);
+      continue;
+    }
+    if (must_wait_for_lists(pool, job, now))
+      continue;
+    if (!place_job(pool, job, now, out))
+      pool.queue.erase(key);
+  }
+}
+
+wire::pool_state describe_pool(const pool& pool, unix_ms now) {
+  wire::pool_state described;
+  described.set_zone(pool.zone);
+  described.set_token(pool.token);
+  std::map<std::string, wire::service_room> rooms;
+  for (const auto& [id, upstream] : pool.upstreams) {
+    if (!may_take_work(upstream, now))
+      continue;
+    wire::service_room& room = rooms[upstream.info.service()];
+    room.set_free_cpu_milli(room.free_cpu_milli() +
+                            free_room(upstream).cpu_milli());
+    room.set_total_cpu_milli(room.total_cpu_milli() +
+                             upstream.info.capacity().cpu_milli());
+  }
+  for (const queue_key& key : pool.queue) {
+    const pool_job& job = pool.jobs.at(std::get<2>(key));
+    auto queued =
+        std::count_if(job.tasks.begin(), job.tasks.end(),
+                      [](const auto& item) { return item.second.queued; });
+    wire::service_room& room = rooms[job.request.service()];
+    room.set_queued_cpu_milli(room.queued_cpu_milli() +
+                              queued * job.request.need().cpu_milli());
+  }
+  for (auto& [service, room] : rooms) {
+    room.set_service(service);
+    *described.add_services() = std::move(room);
+  }
+  return described;
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/pool_runs.cc
@@ -0,0 +1,557 @@
+// The life of runs on upstreams: orders, their replies, and the lists.
+//
+// One hold is always under way to each upstream. It renews the lease, waits
+// there for an end, and returns both lists. An upstream whose hold goes
+// unanswered is only looked at until it answers: after `leases_over_ms`
+// nothing runs there, and its tasks go back to the queue.
+//
+// A list proves the absence of a run only when the run was known to be there,
+// or its stop acknowledged, before the hold was sent: replies on different
+// connections may overtake each other.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "cyclamenwood/pool_internal.h"
+
+namespace cyclamenwood {
+namespace {
+
+// Renews leases more than twice in their time.
+constexpr int64_t HOLD_WAIT_MS = 300;
+// An answer in the same zone takes a few ms; the rest allows for a busy
+// process.
+constexpr int64_t ORDER_TIMEOUT_MS = 150;
+constexpr int64_t UNREACHABLE_RETRY_MS = 50;
+constexpr int64_t GONE_RETRY_MS = 500;
+// Starts of one attempt before another upstream is tried.
+constexpr int MAX_UNANSWERED_STARTS = 3;
+constexpr int64_t REST_MS = 500;
+constexpr int64_t NO_ROOM_REST_MS = 100;
+// An upstream that fails this many runs in a row, whatever their jobs, rests.
+constexpr int FAILURES_TO_EJECT = 3;
+constexpr int64_t EJECTION_MS = 2'000;
+// An upstream's clock may be 2% slow; the rest covers reading it.
+constexpr double SLOWEST_CLOCK = 0.98;
+constexpr int64_t LEASE_MARGIN_MS = 30;
+// Upstreams announce themselves at least this often.
+constexpr int64_t FORGET_MS = 20'000;
+
+int64_t lease_deadline(const pool& pool,
+                       leased_upstream& upstream,
+                       unix_ms now) {
+  if (!upstream.clock_offset_ms)
+    return 0;
+  auto longest = static_cast<int64_t>(
+      static_cast<double>(pool.options.lease_ms) / SLOWEST_CLOCK);
+  upstream.leases_over_ms =
+      std::max(upstream.leases_over_ms, now + longest + LEASE_MARGIN_MS);
+  return now + *upstream.clock_offset_ms + pool.options.lease_ms;
+}
+
+run_order make_order(pool& pool,
+                     order_kind kind,
+                     const leased_upstream& upstream,
+                     unix_ms now) {
+  run_order order;
+  order.id = pool.next_order++;
+  order.kind = kind;
+  order.upstream = upstream.info.id();
+  order.incarnation = upstream.info.incarnation();
+  order.address = upstream.info.address();
+  order.token = pool.token;
+  order.give_up_ms = now + ORDER_TIMEOUT_MS;
+  return order;
+}
+
+void issue(pool& pool, run_order order, pool_output& out) {
+  pool.orders[order.id] = order;
+  out.orders.push_back(std::move(order));
+}
+
+void send_hold(pool& pool,
+               leased_upstream& upstream,
+               unix_ms now,
+               pool_output& out) {
+  run_order order = make_order(pool, order_kind::hold, upstream, now);
+  order.last_seen = upstream.last_seen;
+  if (upstream.reachable && upstream.listed) {
+    order.lease_deadline_ms = lease_deadline(pool, upstream, now);
+    order.wait_ms = HOLD_WAIT_MS;
+    order.give_up_ms += HOLD_WAIT_MS;
+  }
+  upstream.hold_order = order.id;
+  upstream.hold_sent_ms = now;
+  issue(pool, std::move(order), out);
+}
+
+void send_start(pool& pool,
+                leased_upstream& upstream,
+                const std::string& name,
+                leased_run& run,
+                unix_ms now,
+                pool_output& out) {
+  const pool_job* job = find_job(pool, run.submission, name);
+  if (job == nullptr) {
+    stop_run(pool, upstream, name, now, out);
+    return;
+  }
+  run_order order = make_order(pool, order_kind::start, upstream, now);
+  order.task = name;
+  order.attempt = run.attempt;
+  order.spec = job->request.spec();
+  order.lease_deadline_ms = lease_deadline(pool, upstream, now);
+  run.resend_ms = INT64_MAX;
+  issue(pool, std::move(order), out);
+}
+
+void send_stop(pool& pool,
+               leased_upstream& upstream,
+               const std::string& name,
+               leased_run& run,
+               unix_ms now,
+               pool_output& out) {
+  run_order order = make_order(pool, order_kind::stop, upstream, now);
+  order.task = name;
+  order.attempt = run.attempt;
+  run.resend_ms = INT64_MAX;
+  issue(pool, std::move(order), out);
+}
+
+// The run is settled: its room is free and its task may run elsewhere.
+void end_run(pool& pool,
+             leased_upstream& upstream,
+             const std::string& name,
+             run_end how,
+             pool_output& out) {
+  auto found = upstream.runs.find(name);
+  leased_run run = found->second;
+  upstream.runs.erase(found);
+  pool.placed.erase(name);
+  task_run_over(pool, name, run, upstream.info.id(), how, out);
+}
+
+void end_all_runs(pool& pool,
+                  leased_upstream& upstream,
+                  std::string_view reason,
+                  pool_output& out) {
+  if (upstream.runs.empty())
+    return;
+  out.notes.push_back({"runs_lost", fmt::format("upstream={} runs={} reason={}",
+                                                upstream.info.id(),
+                                                upstream.runs.size(), reason)});
+  while (!upstream.runs.empty()) {
+    std::string name = upstream.runs.begin()->first;
+    end_run(pool, upstream, name, run_end::lapsed, out);
+  }
+}
+
+// Another process answers in the upstream's place: this one is gone.
+void drop_upstream(pool& pool, const std::string& id, pool_output& out) {
+  auto found = pool.upstreams.find(id);
+  end_all_runs(pool, found->second, "other_incarnation", out);
+  pool.upstreams.erase(found);
+}
+
+void read_clock(leased_upstream& upstream, int64_t clock_ms, unix_ms now) {
+  // A reply is read late, never early, so that the largest difference seen is
+  // the best; it is let down slowly, since the clocks may drift apart by 2%.
+  int64_t seen = clock_ms - now;
+  if (!upstream.clock_offset_ms || seen >= *upstream.clock_offset_ms) {
+    upstream.clock_offset_ms = seen;
+  } else {
+    int64_t drift = 1 + (now - upstream.clock_read_ms) / 40;
+    upstream.clock_offset_ms =
+        std::max(seen, *upstream.clock_offset_ms - drift);
+  }
+  upstream.clock_read_ms = now;
+}
+
+// ---- Replies ----------------------------------------------------------------
+
+leased_run* find_run(leased_upstream& upstream, const run_order& order) {
+  auto found = upstream.runs.find(order.task);
+  bool same =
+      found != upstream.runs.end() && found->second.attempt == order.attempt;
+  return same ? &found->second : nullptr;
+}
+
+void start_unanswered(pool& pool,
+                      leased_upstream& upstream,
+                      const run_order& order,
+                      leased_run& run,
+                      unix_ms now,
+                      pool_output& out) {
+  ++run.unanswered_starts;
+  if (run.unanswered_starts < MAX_UNANSWERED_STARTS && upstream.reachable) {
+    run.resend_ms = now;
+    return;
+  }
+  out.notes.push_back({"start_unanswered",
+                       fmt::format("task={} attempt={} upstream={}", order.task,
+                                   order.attempt, order.upstream)});
+  run.wanted_elsewhere = true;
+  upstream.rest_until_ms = now + REST_MS;
+  stop_run(pool, upstream, order.task, now, out);
+}
+
+void start_replied(pool& pool,
+                   leased_upstream& upstream,
+                   const run_order& order,
+                   order_outcome outcome,
+                   unix_ms now,
+                   pool_output& out) {
+  leased_run* run = find_run(upstream, order);
+  if (run == nullptr || run->state != run_state::starting)
+    return;
+  if (outcome != order_outcome::accepted &&
+      outcome != order_outcome::unanswered)
+    out.notes.push_back(
+        {"start_rejected",
+         fmt::format("task={} attempt={} upstream={} reason={}", order.task,
+                     order.attempt, order.upstream, to_string(outcome))});
+  switch (outcome) {
+    case order_outcome::accepted:
+      run->state = run_state::running;
+      run->listed_from_ms = now;
+      if (pool_job* job = find_job(pool, run->submission, order.task))
+        job->tasks[run->task].started = true;
+      break;
+    case order_outcome::unanswered:
+      start_unanswered(pool, upstream, order, *run, now, out);
+      break;
+    case order_outcome::late:
+      run->resend_ms = now;
+      break;
+    case order_outcome::stale_attempt:
+      // An earlier start of this attempt may have run and ended: the next
+      // list tells.
+      if (run->unanswered_starts > 0)
+        run->listed_from_ms = now;
+      else
+        end_run(pool, upstream, order.task, run_end::lapsed, out);
+      break;
+    case order_outcome::no_room:
+      upstream.rest_until_ms = now + NO_ROOM_REST_MS;
+      end_run(pool, upstream, order.task, run_end::lapsed, out);
+      break;
+    case order_outcome::unhealthy:
+      upstream.rest_until_ms = now + REST_MS;
+      end_run(pool, upstream, order.task, run_end::lapsed, out);
+      break;
+    default:
+      end_run(pool, upstream, order.task, run_end::failed, out);
+      break;
+  }
+}
+
+void stop_replied(leased_upstream& upstream,
+                  const run_order& order,
+                  order_outcome outcome,
+                  unix_ms now) {
+  leased_run* run = find_run(upstream, order);
+  if (run == nullptr || run->state != run_state::stopping)
+    return;
+  if (outcome == order_outcome::unanswered)
+    run->resend_ms = now;
+  else
+    run->listed_from_ms = std::min(run->listed_from_ms, now);
+}
+
+void count_end(leased_upstream& upstream,
+               run_end how,
+               unix_ms now,
+               pool_output& out) {
+  if (how == run_end::done)
+    upstream.failures = 0;
+  if (how != run_end::failed)
+    return;
+  ++upstream.failures;
+  if (upstream.failures < FAILURES_TO_EJECT)
+    return;
+  upstream.rest_until_ms = now + EJECTION_MS;
+  out.notes.push_back(
+      {"upstream_ejected", fmt::format("upstream={} failures={}",
+                                       upstream.info.id(), upstream.failures)});
+}
+
+void take_end(pool& pool,
+              leased_upstream& upstream,
+              const listed_end& end,
+              unix_ms now,
+              pool_output& out) {
+  if (end.number <= upstream.last_seen)
+    return;
+  upstream.last_seen = end.number;
+  count_end(upstream, end.how, now, out);
+  auto run = upstream.runs.find(end.task);
+  if (run != upstream.runs.end() && run->second.attempt == end.attempt)
+    end_run(pool, upstream, end.task, end.how, out);
+  else if (!upstream.listed)
+    pool.found_ends[end.task] = {end.how, now};
+}
+
+void take_running(pool& pool,
+                  leased_upstream& upstream,
+                  const listed_run& listed,
+                  unix_ms now,
+                  pool_output& out) {
+  auto known = upstream.runs.find(listed.task);
+  if (known != upstream.runs.end()) {
+    leased_run& run = known->second;
+    if (run.attempt == listed.attempt && run.state == run_state::starting) {
+      run.state = run_state::running;
+      run.listed_from_ms = now;
+    }
+    return;
+  }
+  bool elsewhere = pool.placed.contains(listed.task);
+  leased_run& found = upstream.runs[listed.task];
+  found.attempt = listed.attempt;
+  found.need = upstream.info.capacity();
+  found.state = run_state::running;
+  found.listed_from_ms = now;
+  found.found_ms = now;
+  if (!elsewhere)
+    pool.placed[listed.task] = upstream.info.id();
+  // Only a new owner adopts: later, this is a start that came too late.
+  if (upstream.listed || elsewhere)
+    stop_run(pool, upstream, listed.task, now, out);
+}
+
+// Runs that the list lacks are over.
+void settle_absent(pool& pool,
+                   leased_upstream& upstream,
+                   const order_reply& reply,
+                   unix_ms hold_sent_ms,
+                   pool_output& out) {
+  std::set<std::string> listed;
+  for (const listed_run& run : reply.running)
+    listed.insert(run.task);
+  std::vector<std::string> absent;
+  for (const auto& [name, run] : upstream.runs) {
+    if (run.listed_from_ms < hold_sent_ms && !listed.contains(name))
+      absent.push_back(name);
+  }
+  for (const std::string& name : absent)
+    end_run(pool, upstream, name, run_end::lapsed, out);
+}
+
+// The upstream was started again under its id. Its numbers and its clock
+// begin anew; what the list lacks ended with the former life.
+void begin_new_life(leased_upstream& upstream,
+                    const order_reply& reply,
+                    unix_ms now,
+                    pool_output& out) {
+  out.notes.push_back(
+      {"upstream_reborn", fmt::format("upstream={} runs={}", upstream.info.id(),
+                                      upstream.runs.size())});
+  upstream.info.set_incarnation(reply.incarnation);
+  upstream.last_seen = 0;
+  upstream.clock_offset_ms.reset();
+  read_clock(upstream, reply.clock_ms, now);
+}
+
+void hold_replied(pool& pool,
+                  leased_upstream& upstream,
+                  const order_reply& reply,
+                  unix_ms now,
+                  pool_output& out) {
+  unix_ms sent_ms = upstream.hold_sent_ms;
+  upstream.hold_order = 0;
+  if (reply.outcome != order_outcome::accepted) {
+    if (upstream.reachable && upstream.listed)
+      out.notes.push_back(
+          {"upstream_unreachable",
+           fmt::format("upstream={} runs={} reason={}", upstream.info.id(),
+                       upstream.runs.size(), to_string(reply.outcome))});
+    upstream.reachable = false;
+    bool gone = now - upstream.heard_ms > FORGET_MS / 10;
+    upstream.next_hold_ms = now + (gone ? GONE_RETRY_MS : UNREACHABLE_RETRY_MS);
+    return;
+  }
+  upstream.reachable = true;
+  if (reply.incarnation > upstream.info.incarnation())
+    begin_new_life(upstream, reply, now, out);
+  for (const listed_end& end : reply.ended)
+    take_end(pool, upstream, end, now, out);
+  for (const listed_run& run : reply.running)
+    take_running(pool, upstream, run, now, out);
+  settle_absent(pool, upstream, reply, sent_ms, out);
+  upstream.listed = true;
+  send_hold(pool, upstream, now, out);
+}
+
+// ---- Time -------------------------------------------------------------------
+
+void tick_runs(pool& pool,
+               leased_upstream& upstream,
+               unix_ms now,
+               pool_output& out) {
+  std::vector<std::string> due;
+  for (const auto& [name, run] : upstream.runs) {
+    bool unclaimed = run.submission == 0 && run.state == run_state::running &&
+                     now >= run.found_ms + ADOPTION_MS;
+    if (unclaimed || now >= run.resend_ms)
+      due.push_back(name);
+  }
+  for (const std::string& name : due) {
+    leased_run& run = upstream.runs[name];
+    if (run.state == run_state::starting)
+      send_start(pool, upstream, name, run, now, out);
+    else if (run.state == run_state::stopping)
+      send_stop(pool, upstream, name, run, now, out);
+    else
+      stop_run(pool, upstream, name, now, out);
+  }
+}
+
+}  // namespace
+
+void start_run(pool& pool,
+               leased_upstream& upstream,
+               const pool_job& job,
+               uint32_t task,
+               unix_ms now,
+               pool_output& out) {
+  std::string name = task_name(job.request, task);
+  leased_run& run = upstream.runs[name];
+  run.submission = job.request.submission();
+  run.task = task;
+  run.attempt = job.tasks.at(task).next_attempt;
+  run.need = job.request.need();
+  pool.placed[name] = upstream.info.id();
+  send_start(pool, upstream, name, run, now, out);
+}
+
+void stop_run(pool& pool,
+              leased_upstream& upstream,
+              const std::string& name,
+              unix_ms now,
+              pool_output& out) {
+  leased_run& run = upstream.runs[name];
+  if (run.state == run_state::stopping)
+    return;
+  run.state = run_state::stopping;
+  run.listed_from_ms = INT64_MAX;
+  send_stop(pool, upstream, name, run, now, out);
+}
+
+void order_replied(pool& pool,
+                   uint64_t order_id,
+                   const order_reply& reply,
+                   unix_ms now,
+                   pool_output& out) {
+  auto issued = pool.orders.find(order_id);
+  if (issued == pool.orders.end())
+    return;
+  run_order order = std::move(issued->second);
+  pool.orders.erase(issued);
+  auto found = pool.upstreams.find(order.upstream);
+  if (order.token != pool.token || found == pool.upstreams.end())
+    return;
+  leased_upstream& upstream = found->second;
+  if (reply.outcome == order_outcome::stale_token) {
+    out.notes.push_back(
+        {"ownership_lost", fmt::format("token={} upstream={} by=fence",
+                                       pool.token, order.upstream)});
+    out.lost = true;
+    return;
+  }
+  if (reply.outcome == order_outcome::other_incarnation) {
+    drop_upstream(pool, order.upstream, out);
+    return;
+  }
+  if (reply.clock_ms != 0)
+    read_clock(upstream, reply.clock_ms, now);
+  if (reply.outcome != order_outcome::unanswered)
+    upstream.heard_ms = now;
+  if (order.kind == order_kind::start)
+    start_replied(pool, upstream, order, reply.outcome, now, out);
+  else if (order.kind == order_kind::stop)
+    stop_replied(upstream, order, reply.outcome, now);
+  else if (order.id == upstream.hold_order)
+    hold_replied(pool, upstream, reply, now, out);
+}
+
+void learn_upstream(pool& pool,
+                    const wire::upstream& heard,
+                    unix_ms now,
+                    pool_output& out) {
+  auto found = pool.upstreams.find(heard.id());
+  if (found != pool.upstreams.end()) {
+    leased_upstream& known = found->second;
+    if (heard.incarnation() < known.info.incarnation())
+      return;
+    if (heard.incarnation() == known.info.incarnation()) {
+      bool leaving = known.info.state() == wire::UPSTREAM_LEAVING;
+      known.info = heard;
+      if (leaving)
+        known.info.set_state(wire::UPSTREAM_LEAVING);
+      return;
+    }
+    end_all_runs(pool, known, "new_incarnation", out);
+  }
+  leased_upstream& added = pool.upstreams[heard.id()];
+  added = {};
+  added.info = heard;
+  added.heard_ms = now;
+  if (pool.token != 0)
+    send_hold(pool, added, now, out);
+}
+
+void own_pool(pool& pool, uint64_t token, unix_ms now, pool_output& out) {
+  disown_pool(pool);
+  pool.token = token;
+  pool.highest_token = token;
+  pool.owned_since_ms = now;
+  out.notes.push_back({"ownership_taken",
+                       fmt::format("zone={} token={} upstreams={}", pool.zone,
+                                   token, pool.upstreams.size())});
+  for (auto& [id, upstream] : pool.upstreams) {
+    upstream.heard_ms = now;
+    send_hold(pool, upstream, now, out);
+  }
+}
+
+void disown_pool(pool& pool) {
+  pool.token = 0;
+  pool.orders.clear();
+  pool.jobs.clear();
+  pool.queue.clear();
+  pool.placed.clear();
+  pool.found_ends.clear();
+  pool.peers.clear();
+  for (auto& [id, upstream] : pool.upstreams) {
+    wire::upstream info = upstream.info;
+    upstream = {};
+    upstream.info = std::move(info);
+  }
+}
+
+void tick_pool(pool& pool, unix_ms now, pool_output& out) {
+  if (pool.token == 0)
+    return;
+  expire_peers(pool, now, out);
+  std::vector<std::string> forgotten;
+  for (auto& [id, upstream] : pool.upstreams) {
+    if (!upstream.reachable && now >= upstream.leases_over_ms)
+      end_all_runs(pool, upstream, "lease_over", out);
+    bool leaves = upstream.info.state() == wire::UPSTREAM_LEAVING;
+    bool quiet = !upstream.reachable && upstream.runs.empty();
+    if (quiet && (leaves || now - upstream.heard_ms > FORGET_MS)) {
+      forgotten.push_back(id);
+      continue;
+    }
+    if (upstream.hold_order == 0 && now >= upstream.next_hold_ms)
+      send_hold(pool, upstream, now, out);
+    tick_runs(pool, upstream, now, out);
+  }
+  for (const std::string& id : forgotten)
+    pool.upstreams.erase(id);
+  std::erase_if(pool.found_ends, [now](const auto& item) {
+    return now > item.second.second + FORGET_MS / 10;
+  });
+}
+
+}  // namespace cyclamenwood
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <set>
 
+#include "cyclamenwood/replica_internal.h"
+
 namespace cyclamenwood {
 namespace {
 
@@ -17,27 +19,11 @@
 constexpr int64_t HANDOVER_LIMIT_MS = 3000;
 constexpr int64_t HANDOVER_LINGER_MS = 300;
 
-// The envelopes of one reduction.
-struct outbox {
-  replica_effects effects;
-  std::map<std::string, wire::raft_batch> raft;
-};
-
-void send(outbox& out, const std::string& host, wire::envelope envelope) {
-  out.effects.push_back(replica_send{host, std::move(envelope)});
-}
-
-void note(outbox& out,
-          std::string name,
-          const std::string& group,
-          std::string detail) {
-  out.effects.push_back(
-      replica_note{std::move(name), group, std::move(detail)});
-}
-
 void restore(replica_group& group, const wire::snapshot& snapshot) {
   if (std::holds_alternative<claim_table>(group.machine))
     group.machine = load_claims(snapshot.data());
+  else if (std::holds_alternative<control_log>(group.machine))
+    group.machine = load_control(snapshot.data());
   else
     group.machine = load_config(snapshot.data());
   group.applied_index = snapshot.index();
@@ -46,6 +32,8 @@
 std::string save(const replica_group& group) {
   if (const auto* claims = std::get_if<claim_table>(&group.machine))
     return save_claims(*claims);
+  if (const auto* control = std::get_if<control_log>(&group.machine))
+    return save_control(*control);
   return save_config(std::get<config_log>(group.machine));
 }
 
@@ -171,6 +159,8 @@
     apply_claim_entry(state, group, entry, request, out);
   else if (command.has_roll_out())
     apply_roll_out_entry(group, entry, request, out);
+  else if (std::holds_alternative<control_log>(group.machine))
+    apply_control_entry(state, group, entry, out);
   else if (command.has_members())
     note(out, "membership_committed", group.raft.name,
          fmt::format("voters={}", command.members().voters_size()));
@@ -223,6 +213,8 @@
   raft_compact(group.raft, group.applied_index, save(group), out);
 }
 
+}  // namespace
+
 void absorb(replica_state& state,
             replica_group& group,
             raft_output result,
@@ -244,9 +236,13 @@
   bool changed = !result.committed.empty() || result.restored.has_value();
   if (changed && std::holds_alternative<config_log>(group.machine))
     push_config(state, group, out);
+  if (changed && state.control)
+    push_news(state, group, out);
   note_role(group, out);
 }
 
+namespace {
+
 replica_effects finish(outbox out) {
   for (auto& [host, batch] : out.raft) {
     wire::envelope envelope;
@@ -464,6 +460,8 @@
   std::erase_if(state.config_readers, [&event](const auto& reader) {
     return event.now >= reader.second.expires_ms;
   });
+  if (state.control)
+    tick_control(state, event.now, out);
   check_drained(state, event.now, out);
 }
 
@@ -484,6 +482,12 @@
     case wire::envelope::kRollOutRequest:
       receive_roll_out(state, event.now, envelope, out);
       break;
+    case wire::envelope::kEntryHello:
+      receive_entry_hello(state, event.now, envelope, out);
+      break;
+    case wire::envelope::kControlHello:
+      receive_control_hello(state, envelope);
+      break;
     case wire::envelope::kConfigRead:
       receive_config_read(state, event.now, envelope, out);
       break;
@@ -517,6 +521,33 @@
   on_event(state, replica_tick{event.now}, out);
 }
 
+void on_event(replica_state& state,
+              const replica_config_offered& event,
+              outbox& out) {
+  offer_config(state, event, out);
+}
+
+void on_event(replica_state& state,
+              const replica_config_wanted& event,
+              outbox& out) {
+  want_config(state, event, out);
+}
+
+void on_event(replica_state& state,
+              const replica_upstream_heard& event,
+              outbox& out) {
+  if (state.control &&
+      hear_upstream(state.control->directory, event.upstream, event.now))
+    push_news(state, control_group(state), out);
+}
+
+void on_event(replica_state& state,
+              const replica_upstream_left& event,
+              outbox& out) {
+  if (state.control && hear_leave(state.control->directory, event.id))
+    push_news(state, control_group(state), out);
+}
+
 }  // namespace
 
 replica_state make_replica(const settings& all,
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -27,6 +27,10 @@
 
 #include "cyclamenwood/bundle.h"
 #include "cyclamenwood/claims.h"
+#include "cyclamenwood/control_log.h"
+#include "cyclamenwood/directory.h"
+#include "cyclamenwood/host_settings.h"
+#include "cyclamenwood/owner_policy.h"
 #include "cyclamenwood/raft.h"
 #include "cyclamenwood/settings.h"
 #include "cyclamenwood/wire.pb.h"
@@ -66,12 +70,42 @@
   unix_ms now = 0;
 };
 
+// An operator's configuration; `latest` is checked and has version, content
+// and digest.
+struct replica_config_offered {
+  unix_ms now = 0;
+  uint64_t exchange = 0;
+  wire::roll_out latest;
+};
+
+// An operator asks for the newest configuration.
+struct replica_config_wanted {
+  unix_ms now = 0;
+  uint64_t exchange = 0;
+};
+
+// A leased upstream announced itself.
+struct replica_upstream_heard {
+  unix_ms now = 0;
+  wire::upstream upstream;
+};
+
+// A leased upstream says that it ends.
+struct replica_upstream_left {
+  unix_ms now = 0;
+  std::string id;
+};
+
 using replica_event = std::variant<replica_started,
                                    replica_tick,
                                    replica_received,
                                    replica_flush,
                                    replica_synced,
-                                   replica_drain>;
+                                   replica_drain,
+                                   replica_config_offered,
+                                   replica_config_wanted,
+                                   replica_upstream_heard,
+                                   replica_upstream_left>;
 
 // ---- Effects --------------------------------------------------------------
 
@@ -94,8 +128,31 @@
 // Leadership is handed over: the process may exit.
 struct replica_drained {};
 
-using replica_effect =
-    std::variant<replica_persist, replica_send, replica_note, replica_drained>;
+enum class operator_outcome {
+  accepted,
+  // `content` is the newest configuration.
+  content,
+  // No configuration was accepted so far.
+  none,
+  // `leader_host` can answer.
+  redirected,
+  // Nobody here can be sure; the caller may ask again.
+  unavailable,
+};
+
+// Answers an operator's request.
+struct replica_operator_answer {
+  uint64_t exchange = 0;
+  operator_outcome outcome = operator_outcome::unavailable;
+  std::string content;
+  std::string leader_host;
+};
+
+using replica_effect = std::variant<replica_persist,
+                                    replica_send,
+                                    replica_note,
+                                    replica_drained,
+                                    replica_operator_answer>;
 using replica_effects = std::vector<replica_effect>;
 
 // ---- State ----------------------------------------------------------------
@@ -109,7 +166,7 @@
 
 struct replica_group {
   raft_group raft;
-  std::variant<claim_table, config_log> machine;
+  std::variant<claim_table, config_log, control_log> machine;
   // Index of the last command applied to `machine`.
   uint64_t applied_index = 0;
   std::map<uint64_t, pending_request> pending;
@@ -122,6 +179,29 @@
   unix_ms expires_ms = 0;
 };
 
+// An operator's request that waits for its log entry to be committed.
+struct waiting_operator {
+  uint64_t index = 0;
+  uint64_t term = 0;
+  unix_ms answer_by_ms = 0;
+  bool wants_content = false;
+};
+
+// What a replica of a seeded deployment's control log keeps besides the log.
+struct control_part {
+  upstream_directory directory;
+  entry_host_map entry_hosts;
+  // By exchange.
+  std::map<uint64_t, waiting_operator> waiting;
+  // No owner is replaced before this time: the process may have been frozen
+  // or has just begun to lead, and has not heard from everybody yet.
+  unix_ms owners_at_ms = 0;
+  unix_ms last_tick_ms = 0;
+  // Index of the newest grant proposed; one round of grants at a time.
+  uint64_t grants_index = 0;
+  unix_ms peers_at_ms = 0;
+};
+
 struct replica_state {
   std::string host;
   uint64_t identity = 0;
@@ -131,6 +211,8 @@
   std::map<std::string, replica_group, std::less<>> groups;
   std::map<uint64_t, std::string> host_of_identity;
   std::map<std::string, config_reader> config_readers;
+  // Set in seeded deployments.
+  std::optional<control_part> control;
   unix_ms hello_at_ms = 0;
   bool draining = false;
   unix_ms drain_until_ms = 0;
@@ -143,6 +225,20 @@
                            uint64_t seed,
                            unix_ms now);
 
+// The replica of the control log on a seeded deployment's host. The group's
+// first voters are the seeds.
+replica_state make_control_replica(const host_settings& host,
+                                   const replica_options& options,
+                                   const raft_options& raft,
+                                   uint64_t identity,
+                                   uint64_t seed,
+                                   unix_ms now);
+
+// The identity of a founding replica on this host: all seeds must know each
+// other's before any of them has started. A replica whose folder was lost
+// returns with a random one.
+uint64_t founding_identity(std::string_view host);
+
 // Feeds one write of the log, in order, before `replica_started`.
 void replay_write(replica_state& state, const wire::wal_write& write);
 
--- /dev/null
+++ b/cyclamenwood/replica_runner.h
@@ -0,0 +1,84 @@
+// Runs a replica reducer on an event loop: its log on disk, its messages, its
+// ticks. Both kinds of replica daemons are thin around it.
+//
+//   replica_runner runner(loop, options, peers);
+//   result<wal_contents> contents = runner.open(folder);
+//   runner.start(make_replica(...), value(contents));
+//   loop.run();
+//   return runner.outcome();
+#ifndef CYCLAMENWOOD_REPLICA_RUNNER_H_
+#define CYCLAMENWOOD_REPLICA_RUNNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cyclamenwood/loop.h"
+#include "cyclamenwood/replica.h"
+#include "cyclamenwood/rpc.h"
+#include "cyclamenwood/wal.h"
+
+namespace cyclamenwood {
+
+class replica_runner {
+ public:
+  using answer_handler = std::function<void(const replica_operator_answer&)>;
+
+  // `peers`: addresses by host. Hosts of seeded deployments are their own
+  // addresses and need not be among them.
+  replica_runner(event_loop& loop,
+                 const replica_options& options,
+                 int64_t heartbeat_interval_ms,
+                 const std::map<std::string, std::string>& peers);
+
+  // Opens the data folder and reads its log.
+  result<wal_contents> open(const std::string& folder);
+
+  // Listens on `rpc_address`, replays the log and begins to take part.
+  result<done> start(replica_state state,
+                     const wal_contents& contents,
+                     const std::string& rpc_address);
+
+  void set_answer_handler(answer_handler handler);
+
+  // Feeds one event; `sync` must follow before the loop waits again.
+  void handle(const replica_event& event);
+  // Syncs until no write is left: what a sync releases may write again.
+  void sync();
+  // Hands leadership over and stops the loop.
+  void drain();
+
+  // Why the loop was stopped, when that was a failure.
+  result<done> outcome() const;
+
+  const replica_state& state() const { return state_; }
+  uint64_t log_bytes() const { return folder_.size(); }
+  rpc_counts counts() const { return rpc_.counts(); }
+
+ private:
+  void execute(const replica_persist& effect);
+  void execute(const replica_send& effect);
+  void execute(const replica_note& effect);
+  void execute(const replica_drained& effect);
+  void execute(const replica_operator_answer& effect);
+  void check(const result<done>& attempt);
+  void rewrite_when_grown();
+
+  event_loop& loop_;
+  replica_options options_;
+  replica_state state_;
+  data_folder folder_;
+  rpc_node rpc_;
+  std::unique_ptr<periodic_timer> tick_;
+  int64_t tick_interval_ms_;
+  answer_handler answer_;
+  bool unsynced_ = false;
+  uint64_t rewritten_bytes_ = 0;
+  std::optional<error> failed_;
+};
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_REPLICA_RUNNER_H_
--- a/cyclamenwood/rpc.cc
+++ b/cyclamenwood/rpc.cc
@@ -279,6 +279,14 @@
   std::atomic<uint64_t> sent_bytes{0};
   std::atomic<uint64_t> dropped_messages{0};
 
+  static std::shared_ptr<peer_slot> make_slot(const std::string& address) {
+    auto slot = std::make_shared<peer_slot>();
+    slot->channel = grpc::CreateCustomChannel(
+        address, grpc::InsecureChannelCredentials(), channel_arguments());
+    slot->stub = wire::link::NewStub(slot->channel);
+    return slot;
+  }
+
   bool send_to_peer(const std::shared_ptr<peer_slot>& slot,
                     wire::envelope envelope) {
     std::lock_guard lock(slot->mutex);
@@ -303,13 +311,13 @@
                    receiver receive)
     : implementation_(std::make_unique<implementation>()) {
   implementation_->receive = std::move(receive);
-  for (const auto& [host, address] : peer_addresses) {
-    auto slot = std::make_shared<peer_slot>();
-    slot->channel = grpc::CreateCustomChannel(
-        address, grpc::InsecureChannelCredentials(), channel_arguments());
-    slot->stub = wire::link::NewStub(slot->channel);
-    implementation_->peers.emplace(host, std::move(slot));
-  }
+  for (const auto& [host, address] : peer_addresses)
+    implementation_->peers.emplace(host, implementation::make_slot(address));
+}
+
+void rpc_node::add_peer(const std::string& host, const std::string& address) {
+  if (!implementation_->peers.contains(host))
+    implementation_->peers.emplace(host, implementation::make_slot(address));
 }
 
 rpc_node::~rpc_node() {
--- a/cyclamenwood/rpc.h
+++ b/cyclamenwood/rpc.h
@@ -38,6 +38,10 @@
   // Listens on "ip:port".
   result<done> listen(const std::string& address);
 
+  // Adds a peer that was not known at the start. Not while other threads call
+  // `send`.
+  void add_peer(const std::string& host, const std::string& address);
+
   void send(const std::string& host, wire::envelope envelope);
   rpc_counts counts() const;
 
--- a/cyclamenwood/util/log.cc
+++ b/cyclamenwood/util/log.cc
@@ -46,7 +46,8 @@
       "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}{}{}\n",
       fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms.count(),
       level_name(level), event, details.empty() ? "" : " ", details);
-  fmt::print(stderr, "{}", line);
+  std::fwrite(line.data(), 1, line.size(), stdout);
+  std::fflush(stdout);
 }
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/util/log.h
+++ b/cyclamenwood/util/log.h
@@ -1,4 +1,4 @@
-// Log lines on standard error, one an event: `time level event key=value…`.
+// Log lines on standard output, one an event: `time level event key=value…`.
 #ifndef CYCLAMENWOOD_UTIL_LOG_H_
 #define CYCLAMENWOOD_UTIL_LOG_H_
 
--- a/cyclamenwood/util/program.cc
+++ b/cyclamenwood/util/program.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <cstdio>
+#include <cstdlib>
 
 namespace cyclamenwood {
 
@@ -30,4 +31,11 @@
   return exit_code_of(failed);
 }
 
+std::string host_settings_path(const char* given) {
+  if (given != nullptr)
+    return given;
+  const char* from_environment = std::getenv("CYCLAMENWOOD_CONFIG");
+  return from_environment == nullptr ? "host.json" : from_environment;
+}
+
 }  // namespace cyclamenwood
--- a/cyclamenwood/util/program.h
+++ b/cyclamenwood/util/program.h
@@ -2,6 +2,7 @@
 #ifndef CYCLAMENWOOD_UTIL_PROGRAM_H_
 #define CYCLAMENWOOD_UTIL_PROGRAM_H_
 
+#include <string>
 #include <string_view>
 
 #include "cyclamenwood/error.h"
@@ -26,6 +27,9 @@
 // "program: type: argument" on standard error; returns the exit code.
 int report(std::string_view program, const error& failed);
 
+// The file that `--host` names, or the one that the environment names.
+std::string host_settings_path(const char* given);
+
 }  // namespace cyclamenwood
 
 #endif  // CYCLAMENWOOD_UTIL_PROGRAM_H_
--- a/cyclamenwood/wal.cc
+++ b/cyclamenwood/wal.cc
@@ -214,12 +214,13 @@
 }
 
 result<uint64_t> format_folder(const std::string& folder,
-                               std::string_view host) {
+                               std::string_view host,
+                               std::optional<uint64_t> wanted) {
   if (::mkdir(folder.c_str(), FOLDER_MODE) != 0 && errno != EEXIST)
     return system_failure(error_code::write_failed, folder);
   if (::access(log_path(folder).c_str(), F_OK) == 0)
     return error{error_code::folder_already_formatted, folder};
-  uint64_t identity = random_identity();
+  uint64_t identity = wanted.value_or(random_identity());
   result<wal_writer<posix_file>> written =
       write_new_log(folder, identity, host, {});
   if (!ok(written))
--- a/cyclamenwood/wal.h
+++ b/cyclamenwood/wal.h
@@ -113,9 +113,10 @@
   std::optional<error> failed_;
 };
 
-// Creates the folder's log with a new random identity.
+// Creates the folder's log with this identity, or with a random one.
 result<uint64_t> format_folder(const std::string& folder,
-                               std::string_view host);
+                               std::string_view host,
+                               std::optional<uint64_t> identity = std::nullopt);
 
 // A replica's data folder, locked while this object lives.
 class data_folder {
--- a/programs/entryd.cc
+++ b/programs/entryd.cc
@@ -7,8 +7,10 @@
 #include <string>
 
 #include "cyclamenwood/entry_daemon.h"
+#include "cyclamenwood/host_entry_daemon.h"
 #include "cyclamenwood/util/log.h"
 #include "cyclamenwood/util/program.h"
+#include "platform/adapter.h"
 
 namespace cyclamenwood {
 namespace {
@@ -18,22 +20,37 @@
 constexpr const char* HELP =
     R"(Usage: cyclamenwood-entryd --settings FILE --name NAME
 
+       cyclamenwood-entryd --host [FILE]
+
 Serves callers, upstreams and operators on the entry host NAME of the
 deployment described in FILE. SIGTERM drains it: running work is finished and
 the process exits.
 
   -s, --settings FILE   the deployment's settings
   -n, --name NAME       this entry host's name in the settings
+      --host [=FILE]    this host's own settings, in a deployment that is found
+                        from seeds; default: $CYCLAMENWOOD_CONFIG
   -h, --help            this text
 
 Exit codes: 0 drained, 2 command line or settings, 4 port in use.
 )";
 
+int run_host(const std::string& path) {
+  result<host_settings> loaded = load_host_settings(path);
+  if (!ok(loaded))
+    return report(PROGRAM, failure(loaded));
+  host_entry_daemon<platform::adapter> daemon(value(loaded));
+  result<done> ended = daemon.run();
+  return ok(ended) ? EXIT_CODE_OK : report(PROGRAM, failure(ended));
+}
+
 int run_program(int argc, char** argv) {
   std::string settings_path;
   std::string name;
+  std::string host_path;
   const option options[] = {{"settings", required_argument, nullptr, 's'},
                             {"name", required_argument, nullptr, 'n'},
+                            {"host", optional_argument, nullptr, 'H'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   int choice = 0;
@@ -45,6 +62,9 @@
       case 'n':
         name = optarg;
         break;
+      case 'H':
+        host_path = host_settings_path(optarg);
+        break;
       case 'h':
         fmt::print("{}", HELP);
         return EXIT_CODE_OK;
@@ -52,10 +72,12 @@
         return EXIT_CODE_USAGE;
     }
   }
+  std::signal(SIGPIPE, SIG_IGN);
+  if (!host_path.empty())
+    return run_host(host_path);
   if (settings_path.empty() || name.empty())
     return report(PROGRAM,
                   error{error_code::usage, "--settings and --name are needed"});
-  std::signal(SIGPIPE, SIG_IGN);
   result<settings> loaded = load_settings(settings_path);
   if (!ok(loaded))
     return report(PROGRAM, failure(loaded));
--- a/programs/replicad.cc
+++ b/programs/replicad.cc
@@ -6,10 +6,12 @@
 #include <cstdio>
 #include <string>
 
+#include "cyclamenwood/control_daemon.h"
 #include "cyclamenwood/replica_daemon.h"
 #include "cyclamenwood/util/log.h"
 #include "cyclamenwood/util/program.h"
 #include "cyclamenwood/wal.h"
+#include "platform/adapter.h"
 
 namespace cyclamenwood {
 namespace {
@@ -19,6 +21,7 @@
 constexpr const char* HELP =
     R"(Usage: cyclamenwood-replicad --settings FILE --name NAME --data DIR
        cyclamenwood-replicad format --name NAME --data DIR
+       cyclamenwood-replicad --host [FILE]
 
 Holds the replicas that the settings place on NAME, with their log under DIR.
 `format` makes DIR ready and prints its new identity. For a new deployment the
@@ -29,6 +32,8 @@
   -s, --settings FILE   the deployment's settings
   -n, --name NAME       this replica's name in the settings
   -d, --data DIR        the data folder
+      --host [=FILE]    this host's own settings, in a deployment that is found
+                        from seeds; default: $CYCLAMENWOOD_CONFIG
   -h, --help            this text
 
 Exit codes: 0 drained, 2 command line or settings, 4 log or port unusable.
@@ -38,6 +43,7 @@
   std::string settings_path;
   std::string name;
   std::string folder;
+  std::string host_path;
   bool format = false;
 };
 
@@ -59,11 +65,21 @@
   return ok(ended) ? EXIT_CODE_OK : report(PROGRAM, failure(ended));
 }
 
+int run_host(const arguments& given) {
+  result<host_settings> loaded = load_host_settings(given.host_path);
+  if (!ok(loaded))
+    return report(PROGRAM, failure(loaded));
+  control_daemon<platform::adapter> daemon(value(loaded));
+  result<done> ended = daemon.run();
+  return ok(ended) ? EXIT_CODE_OK : report(PROGRAM, failure(ended));
+}
+
 int run_program(int argc, char** argv) {
   arguments given;
   const option options[] = {{"settings", required_argument, nullptr, 's'},
                             {"name", required_argument, nullptr, 'n'},
                             {"data", required_argument, nullptr, 'd'},
+                            {"host", optional_argument, nullptr, 'H'},
                             {"help", no_argument, nullptr, 'h'},
                             {nullptr, 0, nullptr, 0}};
   int choice = 0;
@@ -79,6 +95,9 @@
       case 'd':
         given.folder = optarg;
         break;
+      case 'H':
+        given.host_path = host_settings_path(optarg);
+        break;
       case 'h':
         fmt::print("{}", HELP);
         return EXIT_CODE_OK;
@@ -86,6 +105,11 @@
         return EXIT_CODE_USAGE;
     }
   }
+  std::signal(SIGPIPE, SIG_IGN);
+  // A file size limit shows as a failed write.
+  std::signal(SIGXFSZ, SIG_IGN);
+  if (!given.host_path.empty())
+    return run_host(given);
   given.format = optind < argc && std::string(argv[optind]) == "format";
   if (given.name.empty() || given.folder.empty())
     return report(PROGRAM,
@@ -94,9 +118,6 @@
     return format(given);
   if (given.settings_path.empty())
     return report(PROGRAM, error{error_code::usage, "--settings is needed"});
-  std::signal(SIGPIPE, SIG_IGN);
-  // A file size limit shows as a failed write.
-  std::signal(SIGXFSZ, SIG_IGN);
   return run(given);
 }
 
