--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -18,6 +18,7 @@
 #include "cyclamenwood/http_server.h"
 #include "cyclamenwood/replica_runner.h"
 #include "cyclamenwood/route_table.h"
+#include "cyclamenwood/settings_watch.h"
 #include "cyclamenwood/types.h"
 #include "cyclamenwood/util/log.h"
 
@@ -26,7 +27,7 @@
 template <typename Adapter>
 class control_daemon {
  public:
-  explicit control_daemon(const host_settings& settings)
+  control_daemon(const host_settings& settings, const std::string& path)
       : settings_(settings),
         http_(
             loop_,
@@ -34,6 +35,11 @@
             [this](const http_request& request) { on_request(request); },
             [this](uint64_t exchange) { paths_.erase(exchange); }),
         runner_(loop_, options(), raft().heartbeat_interval_ms, {}),
+        watch_(loop_,
+               path,
+               [this](const host_settings& changed) {
+                 feed(replica_seeds{current_time(), changed.seeds});
+               }),
         terminate_(loop_, SIGTERM, [this] { runner_.drain(); }),
         interrupt_(loop_, SIGINT, [this] { runner_.drain(); }) {
     runner_.set_answer_handler(
@@ -205,6 +211,7 @@
   host_settings settings_;
   http_server http_;
   replica_runner runner_;
+  settings_watch watch_;
   signal_watcher terminate_;
   signal_watcher interrupt_;
   // Of the operators' requests that wait for their answer.
--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -242,10 +242,18 @@
 
 void on_event(host_entry& state, const host_drain& event, host_outbox& out) {
   state.draining = true;
+  state.callers.last_calls_ms = event.last_calls_ms;
   state.hello_ms = 0;
   say_hello(state, event.now, out);
 }
 
+void on_event(host_entry& state,
+              const host_seeds& event,
+              host_outbox& /*out*/) {
+  for (const std::string& seed : event.seeds)
+    state.replicas.try_emplace(seed);
+}
+
 }  // namespace
 
 host_entry make_host_entry(const host_settings& settings,
--- a/cyclamenwood/host_entry.h
+++ b/cyclamenwood/host_entry.h
@@ -56,6 +56,14 @@
 // The process was asked to stop.
 struct host_drain {
   unix_ms now = 0;
+  // Later calls are refused.
+  unix_ms last_calls_ms = 0;
+};
+
+// The settings name these seeds now.
+struct host_seeds {
+  unix_ms now = 0;
+  std::vector<std::string> seeds;
 };
 
 using host_event = std::variant<host_tick,
@@ -63,7 +71,8 @@
                                 host_caller_left,
                                 host_received,
                                 host_order_replied,
-                                host_drain>;
+                                host_drain,
+                                host_seeds>;
 
 // ---- Effects --------------------------------------------------------------
 
--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -18,6 +18,7 @@
 #include "cyclamenwood/http_server.h"
 #include "cyclamenwood/loop.h"
 #include "cyclamenwood/rpc.h"
+#include "cyclamenwood/settings_watch.h"
 #include "cyclamenwood/util/log.h"
 
 namespace cyclamenwood {
@@ -25,7 +26,7 @@
 template <typename Adapter>
 class host_entry_daemon {
  public:
-  explicit host_entry_daemon(const host_settings& settings)
+  host_entry_daemon(const host_settings& settings, const std::string& path)
       : callers_(
             loop_,
             limits(),
@@ -55,6 +56,11 @@
                                draw_incarnation(),
                                &Adapter::read_routes)),
         tick_(loop_, TICK_INTERVAL_MS, [this] { on_tick(); }),
+        watch_(loop_,
+               path,
+               [this](const host_settings& changed) {
+                 handle(host_seeds{current_time(), changed.seeds});
+               }),
         terminate_(loop_, SIGTERM, [this] { drain(); }),
         interrupt_(loop_, SIGINT, [this] { drain(); }) {}
 
@@ -85,6 +91,9 @@
   static constexpr int64_t BALANCER_NOTICE_MS = 2'500;
   // Left of the stop grace for the exit itself.
   static constexpr int64_t EXIT_RESERVE_MS = 500;
+  // Before the exit no call is taken that may not end in time; jobs are of
+  // sub-second tasks.
+  static constexpr int64_t LAST_CALLS_MS = 2'000;
   static constexpr int STATUS_OK = 200;
   static constexpr int STATUS_UNAVAILABLE = 503;
 
@@ -115,7 +124,8 @@
       return;
     if (now >= close_at_ms_)
       callers_.close_after_answers();
-    bool idle = now >= close_at_ms_ && callers_.open_exchanges() == 0;
+    bool idle = now >= close_at_ms_ && callers_.open_exchanges() == 0 &&
+                state_.upstreams.token == 0;
     if (idle || now >= exit_by_ms_)
       loop_.stop();
   }
@@ -126,9 +136,10 @@
     unix_ms now = current_time();
     close_at_ms_ = now + BALANCER_NOTICE_MS;
     exit_by_ms_ = now + state_.settings.stop_grace_ms - EXIT_RESERVE_MS;
+    unix_ms last_calls_ms = exit_by_ms_ - LAST_CALLS_MS;
     log_line(log_level::info, "draining",
              fmt::format("open_exchanges={}", callers_.open_exchanges()));
-    handle(host_drain{now});
+    handle(host_drain{now, last_calls_ms});
   }
 
   void handle(const host_event& event) {
@@ -163,6 +174,7 @@
   rpc_node rpc_;
   host_entry state_;
   periodic_timer tick_;
+  settings_watch watch_;
   signal_watcher terminate_;
   signal_watcher interrupt_;
   unix_ms close_at_ms_ = 0;
--- a/cyclamenwood/host_settings.cc
+++ b/cyclamenwood/host_settings.cc
@@ -73,14 +73,21 @@
   return parsed;
 }
 
-result<host_settings> load_host_settings(const std::string& path) {
+std::optional<std::string> read_text(const std::string& path) {
   std::ifstream input(path);
   if (!input)
-    return error{error_code::settings_invalid,
-                 fmt::format("{}: can't be read", path)};
+    return std::nullopt;
   std::ostringstream text;
   text << input.rdbuf();
-  result<host_settings> parsed = parse_host_settings(text.view());
+  return std::move(text).str();
+}
+
+result<host_settings> load_host_settings(const std::string& path) {
+  std::optional<std::string> text = read_text(path);
+  if (!text)
+    return error{error_code::settings_invalid,
+                 fmt::format("{}: can't be read", path)};
+  result<host_settings> parsed = parse_host_settings(*text);
   if (!ok(parsed))
     return error{error_code::settings_invalid,
                  fmt::format("{}: {}", path, failure(parsed).argument)};
--- a/cyclamenwood/host_settings.h
+++ b/cyclamenwood/host_settings.h
@@ -8,6 +8,7 @@
 #ifndef CYCLAMENWOOD_HOST_SETTINGS_H_
 #define CYCLAMENWOOD_HOST_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,9 @@
 // Reads and parses a file; errors name it.
 result<host_settings> load_host_settings(const std::string& path);
 
+// A file's whole content, or nothing when it can't be read.
+std::optional<std::string> read_text(const std::string& path);
+
 // The ip of an "ip:port" address.
 std::string_view ip_of(std::string_view address);
 
--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -9,6 +9,7 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <charconv>
 #include <map>
@@ -326,7 +327,13 @@
 }
 
 void http_server::close_after_answers() {
-  implementation_->closing = true;
+  implementation& self = *implementation_;
+  if (self.closing)
+    return;
+  self.closing = true;
+  MHD_socket listening = MHD_quiesce_daemon(self.daemon);
+  if (listening != MHD_INVALID_SOCKET)
+    ::close(listening);
 }
 
 size_t http_server::open_exchanges() const {
--- a/cyclamenwood/http_server.h
+++ b/cyclamenwood/http_server.h
@@ -55,7 +55,7 @@
   // Answers an exchange; unknown and answered exchanges are ignored.
   void respond(uint64_t exchange, const api_answer& answer);
 
-  // From now on connections are closed after their answer.
+  // From now on no connection is taken and each is closed after its answer.
   void close_after_answers();
   // Exchanges whose answer has not been sent whole.
   size_t open_exchanges() const;
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -265,6 +265,10 @@
     intake.jobs.at(known->second).exchanges.push_back(call.exchange);
     return;
   }
+  if (now > intake.last_calls_ms) {
+    refuse(out, call, caller_outcome::refused, "draining");
+    return;
+  }
   uint64_t submission = intake.next_submission++;
   intake_job& added = intake.jobs[submission];
   intake.by_id[target.id] = submission;
@@ -345,8 +349,11 @@
       continue;
     known = grant;
     for (auto& [submission, job] : intake.jobs) {
-      if (job.zone == grant.zone())
-        send_steps(intake, submission, true, true, now, out);
+      if (job.zone != grant.zone())
+        continue;
+      // The former owner may have started some of it.
+      job.started = job.started || job.token != 0;
+      send_steps(intake, submission, true, true, now, out);
     }
   }
 }
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -97,7 +97,6 @@
 
 struct pool_task {
   bool queued = true;
-  bool started = false;
   uint32_t failures = 0;
   uint32_t next_attempt = 1;
   std::set<std::string> failed_on;
@@ -110,6 +109,8 @@
   wire::run_request request;
   unix_ms deadline_ms = 0;
   unix_ms aim_ms = 0;
+  // A task was ordered, so that one may have begun.
+  bool started = false;
   std::map<uint32_t, pool_task> tasks;
 };
 
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -39,7 +39,7 @@
 
 void start_run(pool& pool,
                leased_upstream& upstream,
-               const pool_job& job,
+               pool_job& job,
                uint32_t task,
                unix_ms now,
                pool_output& out);
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -20,7 +20,7 @@
   result.set_step(job.request.step());
   result.set_task(task);
   result.set_outcome(state.outcome);
-  result.set_started(state.started);
+  result.set_started(job.started);
   for (auto& [host, results] : out.results) {
     if (host == job.from) {
       *results.add_results() = std::move(result);
@@ -85,7 +85,7 @@
   std::string name = task_name(job.request, task);
   auto ended = pool.found_ends.find(name);
   if (ended != pool.found_ends.end() && ended->second.first == run_end::done) {
-    job.tasks[task].started = true;
+    job.started = true;
     settle_task(pool, job, task, wire::RUN_DONE, out);
     pool.found_ends.erase(ended);
     return true;
@@ -101,7 +101,7 @@
   run.need = job.request.need();
   pool_task& state = job.tasks[task];
   state.queued = false;
-  state.started = true;
+  job.started = true;
   state.next_attempt = run.attempt + 1;
   return true;
 }
@@ -139,7 +139,6 @@
   if (task.outcome != wire::RUN_UNSPECIFIED)
     return;
   if (how == run_end::done) {
-    task.started = true;
     settle_task(pool, *job, run.task, wire::RUN_DONE, out);
     return;
   }
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -122,7 +122,7 @@
 
 queue_key key_of(const pool_job& job) {
   return {job.request.priority(),
-          job.aim_ms - job.request.estimate_ms(),
+          std::min(job.aim_ms, job.deadline_ms) - job.request.estimate_ms(),
           {job.request.submission(), job.request.step()}};
 }
 
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -214,8 +214,6 @@
     case order_outcome::accepted:
       run->state = run_state::running;
       run->listed_from_ms = now;
-      if (pool_job* job = find_job(pool, run->submission, order.task))
-        job->tasks[run->task].started = true;
       break;
     case order_outcome::unanswered:
       start_unanswered(pool, upstream, order, *run, now, out);
@@ -410,10 +408,11 @@
 
 void start_run(pool& pool,
                leased_upstream& upstream,
-               const pool_job& job,
+               pool_job& job,
                uint32_t task,
                unix_ms now,
                pool_output& out) {
+  job.started = true;
   std::string name = task_name(job.request, task);
   leased_run& run = upstream.runs[name];
   run.submission = job.request.submission();
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -548,6 +548,13 @@
     push_news(state, control_group(state), out);
 }
 
+void on_event(replica_state& state,
+              const replica_seeds& event,
+              outbox& /*out*/) {
+  for (const std::string& seed : event.seeds)
+    add_peer(state, seed);
+}
+
 }  // namespace
 
 replica_state make_replica(const settings& all,
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -96,6 +96,12 @@
   std::string id;
 };
 
+// The settings name these seeds now.
+struct replica_seeds {
+  unix_ms now = 0;
+  std::vector<std::string> seeds;
+};
+
 using replica_event = std::variant<replica_started,
                                    replica_tick,
                                    replica_received,
@@ -105,7 +111,8 @@
                                    replica_config_offered,
                                    replica_config_wanted,
                                    replica_upstream_heard,
-                                   replica_upstream_left>;
+                                   replica_upstream_left,
+                                   replica_seeds>;
 
 // ---- Effects --------------------------------------------------------------
 
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -150,14 +150,6 @@
   });
 }
 
-void add_peer(replica_state& state, const std::string& host) {
-  bool known = host == state.host ||
-               std::find(state.peers.begin(), state.peers.end(), host) !=
-                   state.peers.end();
-  if (!known)
-    state.peers.push_back(host);
-}
-
 void tell_peers(replica_state& state, unix_ms now, outbox& out) {
   if (now < state.control->peers_at_ms)
     return;
@@ -172,6 +164,14 @@
 
 }  // namespace
 
+void add_peer(replica_state& state, const std::string& host) {
+  bool known = host == state.host ||
+               std::find(state.peers.begin(), state.peers.end(), host) !=
+                   state.peers.end();
+  if (!known)
+    state.peers.push_back(host);
+}
+
 uint64_t founding_identity(std::string_view host) {
   return stable_hash(fmt::format("founding/{}", host)) | 1;
 }
--- a/cyclamenwood/replica_internal.h
+++ b/cyclamenwood/replica_internal.h
@@ -52,6 +52,9 @@
                          const wire::log_entry& entry,
                          outbox& out);
 
+// Messages go to this host too from now on.
+void add_peer(replica_state& state, const std::string& host);
+
 // Tells all entry hosts what they do not have yet.
 void push_news(replica_state& state, const replica_group& group, outbox& out);
 
--- a/programs/entryd.cc
+++ b/programs/entryd.cc
@@ -39,7 +39,7 @@
   result<host_settings> loaded = load_host_settings(path);
   if (!ok(loaded))
     return report(PROGRAM, failure(loaded));
-  host_entry_daemon<platform::adapter> daemon(value(loaded));
+  host_entry_daemon<platform::adapter> daemon(value(loaded), path);
   result<done> ended = daemon.run();
   return ok(ended) ? EXIT_CODE_OK : report(PROGRAM, failure(ended));
 }
--- a/programs/replicad.cc
+++ b/programs/replicad.cc
@@ -69,7 +69,7 @@
   result<host_settings> loaded = load_host_settings(given.host_path);
   if (!ok(loaded))
     return report(PROGRAM, failure(loaded));
-  control_daemon<platform::adapter> daemon(value(loaded));
+  control_daemon<platform::adapter> daemon(value(loaded), given.host_path);
   result<done> ended = daemon.run();
   return ok(ended) ? EXIT_CODE_OK : report(PROGRAM, failure(ended));
 }
