Hopeless jobs are given up early; jobs past their objective go behind

Cause: jobs that could not end before their callers leave ran to the deadline (13% of the long ones, all their room wasted), and in overload the order by latest start served everything late.

Now the progress of a run in its upstream's list tells whether the job can end in time; if not it is stopped and answered 504 at once. Queued jobs that can't meet their objective go behind those that can.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -164,6 +164,18 @@
   }
 }
 
+// With its owner in touch, a job is over when its owner is told so.
+caller_outcome outcome_at_deadline(const intake& intake,
+                                   const intake_job& job,
+                                   unix_ms now) {
+  if (job.zone.empty())
+    return caller_outcome::refused;
+  auto pool = intake.pools.find(job.zone);
+  bool in_touch = pool != intake.pools.end() &&
+                  now - pool->second.heard_ms <= POOL_SILENCE_MS;
+  return in_touch ? caller_outcome::given_up : caller_outcome::unknown;
+}
+
 // ---- Sending ----------------------------------------------------------------
 
 wire::run_request make_request(const intake_job& job,
@@ -393,7 +405,7 @@
               "attempts_used_up", now, out);
     } else {
       end_job(intake, result.submission(),
-              job.started ? caller_outcome::unknown : caller_outcome::refused,
+              job.started ? caller_outcome::given_up : caller_outcome::refused,
               "no_time_left", now, out);
     }
   }
@@ -422,9 +434,7 @@
   }
   for (uint64_t submission : expired) {
     const intake_job& job = intake.jobs.at(submission);
-    bool never_sent = job.zone.empty();
-    end_job(intake, submission,
-            never_sent ? caller_outcome::refused : caller_outcome::unknown,
+    end_job(intake, submission, outcome_at_deadline(intake, job, now),
             "deadline", now, out);
   }
 }
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -68,7 +68,9 @@
   failed,
   // Nothing has run nor will.
   refused,
-  // Some of it may have run.
+  // It was ended here: it can't be complete before its caller leaves.
+  given_up,
+  // Some of it may have run, or may still.
   unknown,
   no_route,
   no_job,
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -65,6 +65,8 @@
   // From then on a list that lacks the run says that it is over.
   unix_ms listed_from_ms = INT64_MAX;
   unix_ms found_ms = 0;
+  // When it began; 0: not known.
+  unix_ms began_ms = 0;
   // The task goes back to the queue when this run is settled.
   bool wanted_elsewhere = false;
 };
@@ -111,6 +113,8 @@
   unix_ms aim_ms = 0;
   // A task was ordered, so that one may have begun.
   bool started = false;
+  // The objective can't be met any more.
+  bool late = false;
   std::map<uint32_t, pool_task> tasks;
 };
 
@@ -122,8 +126,9 @@
   uint64_t incarnation = 0;
 };
 
-// Order of service: priority, then the latest useful start, then arrival.
-using queue_key = std::tuple<uint32_t, unix_ms, pool_job_id>;
+// Order of service: those that can still meet their objective before those
+// that can't, then priority, then the latest useful start, then arrival.
+using queue_key = std::tuple<bool, uint32_t, unix_ms, pool_job_id>;
 
 struct pool_options {
   int64_t lease_ms = 1000;
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -54,6 +54,10 @@
 wire::room free_room(const leased_upstream& upstream);
 queue_key key_of(const pool_job& job);
 
+// Moves queued jobs that can't meet their objective any more behind the
+// others.
+void sort_out_late(pool& pool, unix_ms now);
+
 }  // namespace cyclamenwood
 
 #endif  // CYCLAMENWOOD_POOL_INTERNAL_H_
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -120,9 +120,32 @@
   return free;
 }
 
+// When the job must start to meet its objective, or its caller at least.
+static unix_ms latest_start_ms(const pool_job& job) {
+  unix_ms by_ms =
+      job.late ? job.deadline_ms : std::min(job.aim_ms, job.deadline_ms);
+  return by_ms - job.request.estimate_ms();
+}
+
+void sort_out_late(pool& pool, unix_ms now) {
+  std::vector<queue_key> late;
+  for (const queue_key& key : pool.queue) {
+    const pool_job& job = pool.jobs.at(std::get<pool_job_id>(key));
+    if (!job.late && !job.started && now > latest_start_ms(job))
+      late.push_back(key);
+  }
+  for (const queue_key& key : late) {
+    pool_job& job = pool.jobs.at(std::get<pool_job_id>(key));
+    pool.queue.erase(key);
+    job.late = true;
+    pool.queue.insert(key_of(job));
+  }
+}
+
 queue_key key_of(const pool_job& job) {
-  return {job.request.priority(),
-          std::min(job.aim_ms, job.deadline_ms) - job.request.estimate_ms(),
+  return {job.late,
+          job.request.priority(),
+          latest_start_ms(job),
           {job.request.submission(), job.request.step()}};
 }
 
@@ -131,7 +154,7 @@
     return;
   std::vector<queue_key> waiting(pool.queue.begin(), pool.queue.end());
   for (const queue_key& key : waiting) {
-    pool_job& job = pool.jobs.at(std::get<2>(key));
+    pool_job& job = pool.jobs.at(std::get<pool_job_id>(key));
     if (is_expired(job, now)) {
       expire_job(pool, job, out);
       continue;
@@ -158,7 +181,7 @@
                              upstream.info.capacity().cpu_milli());
   }
   for (const queue_key& key : pool.queue) {
-    const pool_job& job = pool.jobs.at(std::get<2>(key));
+    const pool_job& job = pool.jobs.at(std::get<pool_job_id>(key));
     auto queued =
         std::count_if(job.tasks.begin(), job.tasks.end(),
                       [](const auto& item) { return item.second.queued; });
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -26,6 +26,8 @@
 constexpr int64_t GONE_RETRY_MS = 500;
 // Starts of one attempt before another upstream is tried.
 constexpr int MAX_UNANSWERED_STARTS = 3;
+// Progress over a shorter time says little of the whole.
+constexpr int64_t MIN_PROGRESS_MS = 100;
 constexpr int64_t REST_MS = 500;
 constexpr int64_t NO_ROOM_REST_MS = 100;
 // An upstream that fails this many runs in a row, whatever their jobs, rests.
@@ -214,6 +216,7 @@
     case order_outcome::accepted:
       run->state = run_state::running;
       run->listed_from_ms = now;
+      run->began_ms = now;
       break;
     case order_outcome::unanswered:
       start_unanswered(pool, upstream, order, *run, now, out);
@@ -289,6 +292,36 @@
     pool.found_ends[end.task] = {end.how, now};
 }
 
+// Gives a job up as soon as the progress of one of its tasks shows that it
+// can't end before its caller leaves: its room is worth more to others, and
+// the caller learns it early.
+void judge_progress(pool& pool,
+                    const listed_run& listed,
+                    const leased_run& run,
+                    unix_ms now,
+                    pool_output& out) {
+  int64_t elapsed_ms = now - run.began_ms;
+  bool can_tell = run.began_ms != 0 && run.state == run_state::running &&
+                  listed.percent >= 1 && elapsed_ms >= MIN_PROGRESS_MS;
+  if (!can_tell)
+    return;
+  // Progress is told in whole percent, rounded down.
+  int64_t left = std::max<int64_t>(99 - listed.percent, 0);
+  unix_ms earliest_end_ms = now + elapsed_ms * left / (listed.percent + 1);
+  pool_job* job = find_job(pool, run.submission, listed.task);
+  if (job == nullptr || earliest_end_ms <= job->deadline_ms)
+    return;
+  pool_task& task = job->tasks[run.task];
+  if (task.outcome != wire::RUN_UNSPECIFIED)
+    return;
+  out.notes.push_back(
+      {"job_hopeless",
+       fmt::format("task={} percent={} elapsed_ms={} estimate_ms={} left_ms={}",
+                   listed.task, listed.percent, elapsed_ms,
+                   job->request.estimate_ms(), job->deadline_ms - now)});
+  settle_task(pool, *job, run.task, wire::RUN_EXPIRED, out);
+}
+
 void take_running(pool& pool,
                   leased_upstream& upstream,
                   const listed_run& listed,
@@ -300,7 +333,9 @@
     if (run.attempt == listed.attempt && run.state == run_state::starting) {
       run.state = run_state::running;
       run.listed_from_ms = now;
+      run.began_ms = now;
     }
+    judge_progress(pool, listed, run, now, out);
     return;
   }
   bool elsewhere = pool.placed.contains(listed.task);
@@ -532,6 +567,7 @@
   if (pool.token == 0)
     return;
   expire_peers(pool, now, out);
+  sort_out_late(pool, now);
   std::vector<std::string> forgotten;
   for (auto& [id, upstream] : pool.upstreams) {
     if (!upstream.reachable && now >= upstream.leases_over_ms)
