Tasks of a step are spread over availability zones

Cause: a wide job waited for room in one zone's 37 places while others had some; free room was told as a sum, in which pieces too small for any task count.

Owners now tell the free room of each upstream, ten times a second, and each task goes to its own zone while it fits there, then to the zone with most places, then to where the queue is over first (zone_choice.h).

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -12,6 +12,9 @@
 // Hellos carry both liveness and what has arrived; a third of the silence
 // after which a peer is given up.
 constexpr int64_t HELLO_INTERVAL_MS = 200;
+// Owners are asked for their room more often: a choice of zones is as good as
+// its age.
+constexpr int64_t POOL_HELLO_INTERVAL_MS = 100;
 
 struct host_outbox {
   host_effects effects;
@@ -195,6 +198,12 @@
     hello.set_have_change(replica.have_change);
     send(state, host, std::move(envelope), out);
   }
+}
+
+void say_pool_hello(host_entry& state, unix_ms now, host_outbox& out) {
+  if (now < state.pool_hello_ms)
+    return;
+  state.pool_hello_ms = now + POOL_HELLO_INTERVAL_MS;
   for (const auto& [zone, grant] : state.callers.grants) {
     wire::envelope envelope;
     envelope.mutable_pool_hello()->set_zone(zone);
@@ -206,6 +215,7 @@
 
 void on_event(host_entry& state, const host_tick& event, host_outbox& out) {
   say_hello(state, event.now, out);
+  say_pool_hello(state, event.now, out);
   pool_output pooled;
   tick_pool(state.upstreams, event.now, pooled);
   absorb(state, std::move(pooled), out);
--- a/cyclamenwood/host_entry.h
+++ b/cyclamenwood/host_entry.h
@@ -109,6 +109,7 @@
   cyclamenwood::pool upstreams;
   std::map<std::string, known_replica> replicas;
   unix_ms hello_ms = 0;
+  unix_ms pool_hello_ms = 0;
   bool draining = false;
 };
 
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cyclamenwood {
@@ -63,8 +64,10 @@
 void drop_job(intake& intake, uint64_t submission, intake_output& out) {
   auto found = intake.jobs.find(submission);
   const intake_job& job = found->second;
-  auto grant = intake.grants.find(job.zone);
-  if (grant != intake.grants.end()) {
+  for (const auto& [zone, token] : job.zones) {
+    auto grant = intake.grants.find(zone);
+    if (grant == intake.grants.end())
+      continue;
     wire::envelope envelope;
     envelope.mutable_run_release()->set_submission(submission);
     out.messages.emplace_back(grant->second.host(), std::move(envelope));
@@ -73,6 +76,14 @@
   intake.jobs.erase(found);
 }
 
+// "zone/token" of each owner that got tasks.
+std::string describe_owners(const intake_job& job) {
+  std::string text;
+  for (const auto& [zone, token] : job.zones)
+    text += fmt::format("{}{}/{}", text.empty() ? "" : ",", zone, token);
+  return text.empty() ? "none" : text;
+}
+
 void end_job(intake& intake,
              uint64_t submission,
              caller_outcome outcome,
@@ -84,103 +95,71 @@
              outcome == caller_outcome::refused ? RETRY_AFTER_MS : 0);
   out.notes.push_back(
       {"job_ended",
-       fmt::format("job={} queue={} outcome={} reason={} ms={} zone={} "
-                   "token={} version={}",
+       fmt::format("job={} queue={} outcome={} reason={} ms={} owners={} "
+                   "version={}",
                    job.id, job.queue.name, static_cast<int>(outcome), reason,
-                   now - job.arrived_ms, job.zone, job.token,
+                   now - job.arrived_ms, describe_owners(job),
                    intake.routes->version)});
   drop_job(intake, submission, out);
 }
 
-// ---- Choice of a zone -------------------------------------------------------
+// ---- Choice of zones --------------------------------------------------------
 
-struct zone_room {
-  int64_t free = 0;
-  int64_t queued = 0;
-};
-
-std::optional<zone_room> room_in(const intake& intake,
-                                 const std::string& zone,
-                                 const std::string& service,
-                                 unix_ms now) {
-  auto found = intake.pools.find(zone);
+bool is_fresh(const intake& intake, const std::string& zone, unix_ms now) {
+  auto pool = intake.pools.find(zone);
   auto grant = intake.grants.find(zone);
-  bool fresh = found != intake.pools.end() && grant != intake.grants.end() &&
-               now - found->second.heard_ms <= POOL_SILENCE_MS &&
-               found->second.state.token() == grant->second.token();
-  if (!fresh)
-    return std::nullopt;
-  for (const wire::service_room& room : found->second.state.services()) {
-    if (room.service() == service)
-      return zone_room{room.free_cpu_milli(), room.queued_cpu_milli()};
-  }
-  return std::nullopt;
+  return pool != intake.pools.end() && grant != intake.grants.end() &&
+         now - pool->second.heard_ms <= POOL_SILENCE_MS &&
+         pool->second.token == grant->second.token();
 }
 
-std::string choose_zone(const intake& intake,
-                        const intake_job& job,
-                        unix_ms now) {
-  int64_t wanted = 0;
-  for (const step_spec& step : job.job.steps)
-    wanted =
-        std::max<int64_t>(wanted, int64_t{step.count} * step.need.cpu_milli());
-  std::optional<zone_room> own =
-      room_in(intake, intake.zone, job.queue.service, now);
-  bool own_suffices = own && own->queued == 0 && own->free >= wanted;
-  if (own_suffices)
-    return intake.zone;
-  std::string best = own ? intake.zone : std::string();
-  int64_t best_spare = own ? own->free - own->queued - wanted : INT64_MIN;
-  for (const auto& [zone, pool] : intake.pools) {
-    if (zone == intake.zone)
-      continue;
-    std::optional<zone_room> other =
-        room_in(intake, zone, job.queue.service, now);
-    if (!other)
-      continue;
-    int64_t spare = other->free - other->queued - wanted;
-    bool better = best.empty() || (spare > 0 && spare > best_spare);
-    if (better) {
-      best = zone;
-      best_spare = spare;
-    }
+// Gives each task of the step that has none a zone.
+void assign_zones(intake& intake,
+                  intake_job& job,
+                  uint32_t index,
+                  unix_ms now) {
+  std::vector<intake_task*> unassigned;
+  for (intake_task& task : job.steps[index].tasks) {
+    if (task.zone.empty())
+      unassigned.push_back(&task);
   }
-  return best;
-}
-
-// What this job takes is not free any more, until the pool says so itself.
-void reserve(intake& intake, const intake_job& job, const step_spec& step) {
-  auto found = intake.pools.find(job.zone);
-  if (found == intake.pools.end())
+  if (unassigned.empty())
     return;
-  for (wire::service_room& room : *found->second.state.mutable_services()) {
-    if (room.service() != job.queue.service)
-      continue;
-    int64_t wanted = int64_t{step.count} * step.need.cpu_milli();
-    int64_t free = room.free_cpu_milli() - wanted;
-    room.set_free_cpu_milli(std::max<int64_t>(free, 0));
-    if (free < 0)
-      room.set_queued_cpu_milli(room.queued_cpu_milli() - free);
+  zone_rooms rooms;
+  for (const auto& [zone, pool] : intake.pools) {
+    auto room = pool.rooms.find(job.queue.service);
+    if (is_fresh(intake, zone, now) && room != pool.rooms.end())
+      rooms[zone] = room->second;
   }
+  const step_spec& step = job.job.steps[index];
+  std::vector<std::string> zones = choose_zones(
+      rooms, intake.zone, {step.need.cpu_milli(), step.estimate_ms},
+      unassigned.size());
+  for (size_t i = 0; i < zones.size(); ++i)
+    unassigned[i]->zone = zones[i];
+  for (auto& [zone, room] : rooms)
+    intake.pools[zone].rooms[job.queue.service] = std::move(room);
 }
 
 // With its owner in touch, a job is over when its owner is told so.
 caller_outcome outcome_at_deadline(const intake& intake,
                                    const intake_job& job,
                                    unix_ms now) {
-  if (job.zone.empty())
+  if (job.zones.empty())
     return caller_outcome::refused;
-  auto pool = intake.pools.find(job.zone);
-  bool in_touch = pool != intake.pools.end() &&
-                  now - pool->second.heard_ms <= POOL_SILENCE_MS;
+  bool in_touch = std::all_of(
+      job.zones.begin(), job.zones.end(),
+      [&](const auto& item) { return is_fresh(intake, item.first, now); });
   return in_touch ? caller_outcome::given_up : caller_outcome::unknown;
 }
 
 // ---- Sending ----------------------------------------------------------------
 
+// The step's tasks that the zone has and that have not ended.
 wire::run_request make_request(const intake_job& job,
                                uint64_t submission,
                                uint32_t index,
+                               const std::string& zone,
                                unix_ms now) {
   const step_spec& step = job.job.steps[index];
   wire::run_request request;
@@ -188,7 +167,8 @@
   request.set_job(job.id);
   request.set_step(index);
   for (uint32_t task = 0; task < step.count; ++task) {
-    if (!job.steps[index].ended[task])
+    const intake_task& state = job.steps[index].tasks[task];
+    if (!state.ended && state.zone == zone)
       request.add_tasks(task);
   }
   request.set_spec(job.job.spec);
@@ -201,7 +181,7 @@
   request.set_estimate_ms(step.estimate_ms);
   request.set_aim_ms(job.aim_ms - now);
   request.set_remaining_ms(job.deadline_ms - now);
-  request.set_zone(job.zone);
+  request.set_zone(zone);
   return request;
 }
 
@@ -214,31 +194,46 @@
       [&job](uint32_t earlier) { return job.steps[earlier].missing == 0; });
 }
 
-// Sends the steps that are due and not sent, or all that are due.
+// Sends a step's missing tasks that are in one zone to its owner.
+void send_to_zone(intake& intake,
+                  uint64_t submission,
+                  uint32_t index,
+                  const std::string& zone,
+                  bool resumed,
+                  unix_ms now,
+                  intake_output& out) {
+  intake_job& job = intake.jobs.at(submission);
+  auto grant = intake.grants.find(zone);
+  if (grant == intake.grants.end())
+    return;
+  wire::envelope envelope;
+  wire::run_request& request = *envelope.mutable_run_request();
+  request = make_request(job, submission, index, zone, now);
+  if (request.tasks().empty())
+    return;
+  request.set_resumed(resumed);
+  job.zones[zone] = grant->second.token();
+  out.messages.emplace_back(grant->second.host(), std::move(envelope));
+}
+
+// Sends the steps that are due and were not sent, or all that are due.
 void send_steps(intake& intake,
                 uint64_t submission,
                 bool all,
-                bool resumed,
                 unix_ms now,
                 intake_output& out) {
   intake_job& job = intake.jobs.at(submission);
-  if (job.zone.empty())
-    job.zone = choose_zone(intake, job, now);
-  auto grant = intake.grants.find(job.zone);
-  if (grant == intake.grants.end())
-    return;
-  job.token = grant->second.token();
   job.sent_ms = now;
   for (uint32_t index = 0; index < job.steps.size(); ++index) {
-    if (!is_due(job, index) || (job.steps[index].sent && !all))
+    bool unsent = job.steps[index].tasks.front().zone.empty();
+    if (!is_due(job, index) || !(unsent || all))
       continue;
-    if (!job.steps[index].sent)
-      reserve(intake, job, job.job.steps[index]);
-    job.steps[index].sent = true;
-    wire::envelope envelope;
-    *envelope.mutable_run_request() = make_request(job, submission, index, now);
-    envelope.mutable_run_request()->set_resumed(resumed);
-    out.messages.emplace_back(grant->second.host(), std::move(envelope));
+    assign_zones(intake, job, index, now);
+    std::set<std::string> zones;
+    for (const intake_task& task : job.steps[index].tasks)
+      zones.insert(task.zone);
+    for (const std::string& zone : zones)
+      send_to_zone(intake, submission, index, zone, false, now, out);
   }
 }
 
@@ -298,9 +293,8 @@
       static_cast<int64_t>(target.queue->slack_factor *
                            static_cast<double>(longest_chain_ms(job)));
   for (const step_spec& step : job.steps)
-    added.steps.push_back(
-        {false, std::vector<bool>(step.count, false), step.count});
-  send_steps(intake, submission, false, false, now, out);
+    added.steps.push_back({std::vector<intake_task>(step.count), step.count});
+  send_steps(intake, submission, false, now, out);
 }
 
 }  // namespace
@@ -361,17 +355,21 @@
       continue;
     known = grant;
     for (auto& [submission, job] : intake.jobs) {
-      if (job.zone != grant.zone())
+      if (!job.zones.contains(grant.zone()))
         continue;
       // The former owner may have started some of it.
-      job.started = job.started || job.token != 0;
-      send_steps(intake, submission, true, true, now, out);
+      job.started = true;
+      for (uint32_t index = 0; index < job.steps.size(); ++index)
+        send_to_zone(intake, submission, index, grant.zone(), true, now, out);
     }
   }
 }
 
 void hear_pool(intake& intake, const wire::pool_state& state, unix_ms now) {
-  intake.pools[state.zone()] = {state, now};
+  known_pool& pool = intake.pools[state.zone()];
+  pool = {state.token(), now, {}};
+  for (const wire::service_room& room : state.services())
+    pool.rooms[room.service()] = read_room(room);
 }
 
 void take_results(intake& intake,
@@ -392,12 +390,12 @@
     intake_job& job = found->second;
     intake_step& step = job.steps[result.step()];
     bool known =
-        result.task() >= step.ended.size() || step.ended[result.task()];
+        result.task() >= step.tasks.size() || step.tasks[result.task()].ended;
     job.started = job.started || result.started();
     if (known)
       continue;
     if (result.outcome() == wire::RUN_DONE) {
-      step.ended[result.task()] = true;
+      step.tasks[result.task()].ended = true;
       --step.missing;
       touched.push_back(result.submission());
     } else if (result.outcome() == wire::RUN_FAILED) {
@@ -405,7 +403,8 @@
               "attempts_used_up", now, out);
     } else {
       end_job(intake, result.submission(),
-              job.started ? caller_outcome::given_up : caller_outcome::refused,
+              job.started || job.zones.size() > 1 ? caller_outcome::given_up
+                                                  : caller_outcome::refused,
               "no_time_left", now, out);
     }
   }
@@ -420,7 +419,7 @@
     if (complete)
       end_job(intake, submission, caller_outcome::completed, "done", now, out);
     else
-      send_steps(intake, submission, false, false, now, out);
+      send_steps(intake, submission, false, now, out);
   }
 }
 
@@ -430,7 +429,7 @@
     if (now >= job.deadline_ms)
       expired.push_back(submission);
     else if (now >= job.sent_ms + RESEND_MS)
-      send_steps(intake, submission, true, false, now, out);
+      send_steps(intake, submission, true, now, out);
   }
   for (uint64_t submission : expired) {
     const intake_job& job = intake.jobs.at(submission);
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -9,8 +9,7 @@
 //   call_arrived(intake, call, now, out);
 //   ... run results, pool states, grants, ticks ...
 //
-// Which zone. The own zone's pool is used unless it has work queued and
-// another zone has room for the whole step now.
+// Each task goes to the availability zone that zone_choice.h names.
 #ifndef CYCLAMENWOOD_INTAKE_H_
 #define CYCLAMENWOOD_INTAKE_H_
 
@@ -23,6 +22,7 @@
 #include "cyclamenwood/route_table.h"
 #include "cyclamenwood/types.h"
 #include "cyclamenwood/wire.pb.h"
+#include "cyclamenwood/zone_choice.h"
 
 namespace cyclamenwood {
 
@@ -88,11 +88,16 @@
   int64_t pending = 0;
 };
 
+struct intake_task {
+  bool ended = false;
+  // Where it was sent; empty: nowhere so far.
+  std::string zone;
+};
+
 struct intake_step {
-  bool sent = false;
-  // Results still missing.
-  std::vector<bool> ended;
-  uint32_t missing = 0;
+  std::vector<intake_task> tasks;
+  // Tasks that have not ended.
+  size_t missing = 0;
 };
 
 struct intake_job {
@@ -104,17 +109,19 @@
   unix_ms arrived_ms = 0;
   unix_ms deadline_ms = 0;
   unix_ms aim_ms = 0;
-  // Where the tasks were sent; empty: nowhere so far.
-  std::string zone;
-  uint64_t token = 0;
+  // Zones that tasks were sent to, with their owners' tokens then.
+  std::map<std::string, uint64_t> zones;
   unix_ms sent_ms = 0;
   // A task may have begun.
   bool started = false;
 };
 
+// What is known of the pool of one zone.
 struct known_pool {
-  wire::pool_state state;
+  uint64_t token = 0;
   unix_ms heard_ms = 0;
+  // By service.
+  std::map<std::string, zone_room> rooms;
 };
 
 struct intake {
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -175,8 +175,7 @@
     if (!may_take_work(upstream, now))
       continue;
     wire::service_room& room = rooms[upstream.info.service()];
-    room.set_free_cpu_milli(room.free_cpu_milli() +
-                            free_room(upstream).cpu_milli());
+    room.add_free_cpu_milli(free_room(upstream).cpu_milli());
     room.set_total_cpu_milli(room.total_cpu_milli() +
                              upstream.info.capacity().cpu_milli());
   }
@@ -186,8 +185,9 @@
         std::count_if(job.tasks.begin(), job.tasks.end(),
                       [](const auto& item) { return item.second.queued; });
     wire::service_room& room = rooms[job.request.service()];
-    room.set_queued_cpu_milli(room.queued_cpu_milli() +
-                              queued * job.request.need().cpu_milli());
+    room.set_queued_cpu_milli_ms(room.queued_cpu_milli_ms() +
+                                 queued * job.request.need().cpu_milli() *
+                                     job.request.estimate_ms());
   }
   for (auto& [service, room] : rooms) {
     room.set_service(service);
