The caller's own deadline bounds a job, not the route's time-out

Cause: jobs were ended at the lower of the caller's deadline and the route's time-out. The trace of the largest long jobs (run time 1.5 to 3 s, callers that wait longer) showed that nearly all that were given up could have been done. Ruled out: order of service, room for wide jobs, waiting times (2 to 5 ms).

The log line of a job that ended names its size, so that this can be seen.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -19,8 +19,6 @@
 constexpr int64_t POOL_SILENCE_MS = 600;
 // Missing results are asked for again after this time.
 constexpr int64_t RESEND_MS = 400;
-// Wait of a caller that does not tell its own, and whose route has no limit.
-constexpr int64_t DEFAULT_WAIT_MS = 30'000;
 // Shortest time after which a refused caller may find room.
 constexpr int64_t RETRY_AFTER_MS = 1'000;
 
@@ -95,10 +93,13 @@
              outcome == caller_outcome::refused ? RETRY_AFTER_MS : 0);
   out.notes.push_back(
       {"job_ended",
-       fmt::format("job={} queue={} outcome={} reason={} ms={} owners={} "
-                   "version={}",
-                   job.id, job.queue.name, static_cast<int>(outcome), reason,
-                   now - job.arrived_ms, describe_owners(job),
+       fmt::format("job={} queue={} outcome={} reason={} ms={} wait_ms={} "
+                   "tasks={} cpu_milli={} estimate_ms={} owners={} version={}",
+                   job.id, job.queue.name, to_string(outcome), reason,
+                   now - job.arrived_ms, job.deadline_ms - job.arrived_ms,
+                   job.job.steps.front().count,
+                   job.job.steps.front().need.cpu_milli(),
+                   longest_chain_ms(job.job), describe_owners(job),
                    intake.routes->version)});
   drop_job(intake, submission, out);
 }
@@ -248,7 +249,7 @@
   out.notes.push_back(
       {"call_refused",
        fmt::format("host={} path={} outcome={} reason={}", call.host, call.path,
-                   static_cast<int>(outcome), reason)});
+                   to_string(outcome), reason)});
 }
 
 void submit(intake& intake,
@@ -284,9 +285,8 @@
   added.queue = *target.queue;
   added.job = job;
   added.arrived_ms = now;
-  int64_t wait_ms = call.wait_ms > 0 ? call.wait_ms : DEFAULT_WAIT_MS;
-  if (target.queue->timeout_ms > 0)
-    wait_ms = std::min(wait_ms, target.queue->timeout_ms);
+  int64_t wait_ms =
+      call.wait_ms > 0 ? call.wait_ms : target.queue->timeout_ms;
   added.deadline_ms = now + wait_ms;
   added.aim_ms =
       now + target.queue->target_latency_ms +
@@ -299,6 +299,32 @@
 
 }  // namespace
 
+std::string_view to_string(caller_outcome outcome) {
+  switch (outcome) {
+    case caller_outcome::completed:
+      return "completed";
+    case caller_outcome::failed:
+      return "failed";
+    case caller_outcome::refused:
+      return "refused";
+    case caller_outcome::given_up:
+      return "given_up";
+    case caller_outcome::unknown:
+      return "unknown";
+    case caller_outcome::no_route:
+      return "no_route";
+    case caller_outcome::no_job:
+      return "no_job";
+    case caller_outcome::malformed:
+      return "malformed";
+    case caller_outcome::count:
+      return "count";
+    case caller_outcome::cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
 void call_arrived(intake& intake,
                   const caller_call& call,
                   unix_ms now,
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -80,6 +80,9 @@
   cancelled,
 };
 
+// The name used in logs.
+std::string_view to_string(caller_outcome outcome);
+
 struct caller_answer {
   uint64_t exchange = 0;
   caller_outcome outcome = caller_outcome::refused;
