Takeovers adopt what runs; a lost replica's place is taken; tests of the new parts

Cause: the new unit test of a takeover showed that runs which a new owner finds were stopped at once (the time of their next order was 0), so that a change of owner threw all work away; another that an upstream that was started again under its id kept its former runs until the next hold had waited. A replica that is gone for good had no successor at another address.

Keepalive finds a silent gRPC connection within a second.

Tests: fakes of upstreams and replicas without I/O.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -81,6 +81,7 @@
     options.election_timeout_ms = 500;
     options.heartbeat_interval_ms = 100;
     options.resend_timeout_ms = 250;
+    options.open_membership = true;
     return options;
   }
 
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -285,8 +285,7 @@
   added.queue = *target.queue;
   added.job = job;
   added.arrived_ms = now;
-  int64_t wait_ms =
-      call.wait_ms > 0 ? call.wait_ms : target.queue->timeout_ms;
+  int64_t wait_ms = call.wait_ms > 0 ? call.wait_ms : target.queue->timeout_ms;
   added.deadline_ms = now + wait_ms;
   added.aim_ms =
       now + target.queue->target_latency_ms +
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -61,7 +61,7 @@
   // Starts sent for this attempt without an answer.
   int unanswered_starts = 0;
   // When the current order is sent again.
-  unix_ms resend_ms = 0;
+  unix_ms resend_ms = INT64_MAX;
   // From then on a list that lacks the run says that it is over.
   unix_ms listed_from_ms = INT64_MAX;
   unix_ms found_ms = 0;
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -71,16 +71,18 @@
   out.orders.push_back(std::move(order));
 }
 
+// `wait_ms`: how long the upstream may wait for an end before it replies.
 void send_hold(pool& pool,
                leased_upstream& upstream,
+               int64_t wait_ms,
                unix_ms now,
                pool_output& out) {
   run_order order = make_order(pool, order_kind::hold, upstream, now);
   order.last_seen = upstream.last_seen;
   if (upstream.reachable && upstream.listed) {
     order.lease_deadline_ms = lease_deadline(pool, upstream, now);
-    order.wait_ms = HOLD_WAIT_MS;
-    order.give_up_ms += HOLD_WAIT_MS;
+    order.wait_ms = wait_ms;
+    order.give_up_ms += wait_ms;
   }
   upstream.hold_order = order.id;
   upstream.hold_sent_ms = now;
@@ -404,7 +406,8 @@
     return;
   }
   upstream.reachable = true;
-  if (reply.incarnation > upstream.info.incarnation())
+  bool reborn = reply.incarnation > upstream.info.incarnation();
+  if (reborn)
     begin_new_life(upstream, reply, now, out);
   for (const listed_end& end : reply.ended)
     take_end(pool, upstream, end, now, out);
@@ -412,7 +415,9 @@
     take_running(pool, upstream, run, now, out);
   settle_absent(pool, upstream, reply, sent_ms, out);
   upstream.listed = true;
-  send_hold(pool, upstream, now, out);
+  // A new life is looked at again at once, so that what ended with the former
+  // one is known to be absent.
+  send_hold(pool, upstream, reborn ? 0 : HOLD_WAIT_MS, now, out);
 }
 
 // ---- Time -------------------------------------------------------------------
@@ -531,7 +536,7 @@
   added.info = heard;
   added.heard_ms = now;
   if (pool.token != 0)
-    send_hold(pool, added, now, out);
+    send_hold(pool, added, 0, now, out);
 }
 
 void own_pool(pool& pool, uint64_t token, unix_ms now, pool_output& out) {
@@ -544,7 +549,7 @@
                                    token, pool.upstreams.size())});
   for (auto& [id, upstream] : pool.upstreams) {
     upstream.heard_ms = now;
-    send_hold(pool, upstream, now, out);
+    send_hold(pool, upstream, 0, now, out);
   }
 }
 
@@ -579,7 +584,7 @@
       continue;
     }
     if (upstream.hold_order == 0 && now >= upstream.next_hold_ms)
-      send_hold(pool, upstream, now, out);
+      send_hold(pool, upstream, HOLD_WAIT_MS, now, out);
     tick_runs(pool, upstream, now, out);
   }
   for (const std::string& id : forgotten)
--- a/cyclamenwood/raft.h
+++ b/cyclamenwood/raft.h
@@ -50,6 +50,15 @@
   size_t max_entries_a_message = 512;
   // Appends sent ahead of their acknowledgment, in entries.
   size_t max_entries_in_flight = 4096;
+  // Any host may join as a learner, and one takes the place of a voter that
+  // was silent for `replace_after_ms`. Otherwise only the hosts of the first
+  // membership take part.
+  bool open_membership = false;
+  // Below the time after which a removed host no longer counts as lost.
+  int64_t replace_after_ms = 2'500;
+  // After this time a replacement is taken even where its availability zone
+  // has a voter already.
+  int64_t replace_anywhere_after_ms = 10'000;
 };
 
 enum class raft_role { follower, pre_candidate, candidate, leader };
@@ -107,6 +116,8 @@
   std::map<uint64_t, raft_progress> progress;
   // Hosts with an identity that is no member, as announced by themselves.
   std::map<std::string, uint64_t> strangers;
+  // Availability zones of hosts, as far as known.
+  std::map<std::string, std::string> zones;
 
   int64_t last_leader_contact_ms = INT64_MIN / 2;
   int64_t election_at_ms = 0;
--- a/cyclamenwood/raft_members.cc
+++ b/cyclamenwood/raft_members.cc
@@ -1,5 +1,5 @@
-// Replacing a replica whose data folder was lost: catch the new identity up
-// as a learner, remove the lost one, add the new one.
+// Replacing a replica whose data folder or host was lost: catch the new
+// identity up as a learner, remove the lost one, add the new one.
 #include "cyclamenwood/raft_internal.h"
 
 #include <algorithm>
@@ -70,9 +70,58 @@
     return false;
   bool quick =
       now - learner.round_started_ms <= group.options.election_timeout_ms;
+  bool in_touch =
+      now - learner.last_heard_ms <= group.options.election_timeout_ms;
   learner.round_end = raft_last_index(group);
   learner.round_started_ms = now;
-  return quick;
+  return quick && in_touch;
+}
+
+// Whether a voter other than `leaving` is in the zone of the host.
+bool has_voter_beside(const raft_group& group,
+                      const std::string& host,
+                      uint64_t leaving) {
+  auto zone = group.zones.find(host);
+  if (zone == group.zones.end())
+    return false;
+  return std::any_of(
+      group.members.voters().begin(), group.members.voters().end(),
+      [&](const wire::member& voter) {
+        auto other = group.zones.find(voter.host());
+        return voter.identity() != leaving && other != group.zones.end() &&
+               other->second == zone->second;
+      });
+}
+
+// The voter whose place the newcomer takes: its host's former replica, or one
+// that has been silent for long. An availability zone gets a second voter only
+// when there was no better replacement for a longer time.
+const wire::member* replaced_by(const raft_group& group,
+                                const std::string& host,
+                                uint64_t newcomer,
+                                int64_t now) {
+  const wire::member* former = member_on_host(group, host, newcomer);
+  if (former != nullptr || !group.options.open_membership)
+    return former;
+  for (const wire::member& voter : group.members.voters()) {
+    auto progress = group.progress.find(voter.identity());
+    if (voter.identity() == group.self.identity() ||
+        progress == group.progress.end())
+      continue;
+    int64_t silent_ms = now - progress->second.last_heard_ms;
+    bool crowded = has_voter_beside(group, host, voter.identity());
+    int64_t allowed_ms = crowded ? group.options.replace_anywhere_after_ms
+                                 : group.options.replace_after_ms;
+    if (silent_ms > allowed_ms)
+      return &voter;
+  }
+  return nullptr;
+}
+
+// Whether the newcomer may be added to the voters as they are.
+bool has_place_for(const raft_group& group) {
+  return !group.options.open_membership ||
+         group.members.voters_size() < group.initial_members.voters_size();
 }
 
 wire::membership without(const wire::membership& members, uint64_t identity) {
@@ -100,18 +149,20 @@
       continue;
     auto found = group.progress.find(identity);
     if (found == group.progress.end()) {
-      if (is_placed(group, host))
+      if (group.options.open_membership || is_placed(group, host))
         start_learner(group, host, identity, now, out);
       continue;
     }
     if (!is_caught_up(group, found->second, now))
       continue;
-    const wire::member* lost = member_on_host(group, host, identity);
+    const wire::member* lost = replaced_by(group, host, identity, now);
     if (lost != nullptr) {
       propose_members(group, without(group.members, lost->identity()), now,
                       out);
       return;
     }
+    if (!has_place_for(group))
+      continue;
     wire::membership members = group.members;
     wire::member& added = *members.add_voters();
     added.set_host(host);
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -212,6 +212,8 @@
 struct replica_state {
   std::string host;
   uint64_t identity = 0;
+  // Seeded deployments only.
+  std::string zone;
   replica_options options;
   // Hosts of the other replicas.
   std::vector<std::string> peers;
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -158,6 +158,7 @@
     wire::envelope envelope;
     for (const std::string& replica : known_replicas(state))
       envelope.mutable_control_hello()->add_replicas(replica);
+    envelope.mutable_control_hello()->set_zone(state.zone);
     send(out, peer, std::move(envelope));
   }
 }
@@ -185,6 +186,7 @@
   replica_state state;
   state.host = host.rpc;
   state.identity = identity;
+  state.zone = host.zone;
   state.options = options;
   state.control.emplace();
   state.control->directory.life = seed;
@@ -202,6 +204,7 @@
   replica_group& group = state.groups[std::string(CONTROL_GROUP)];
   group.raft = make_raft_group(CONTROL_GROUP, self, voters, raft, seed, now);
   group.machine = control_log();
+  group.raft.zones[state.host] = state.zone;
   return state;
 }
 
@@ -268,6 +271,8 @@
   if (!state.control)
     return;
   add_peer(state, envelope.from());
+  control_group(state).raft.zones[envelope.from()] =
+      envelope.control_hello().zone();
   for (const std::string& replica : envelope.control_hello().replicas())
     add_peer(state, replica);
 }
--- a/cyclamenwood/rpc.cc
+++ b/cyclamenwood/rpc.cc
@@ -22,8 +22,10 @@
 namespace cyclamenwood {
 namespace {
 
-constexpr int KEEPALIVE_TIME_MS = 2000;
-constexpr int KEEPALIVE_TIMEOUT_MS = 2000;
+// A peer whose connection went silent is found within their sum, before the
+// shortest silence that reducers allow twice over has passed.
+constexpr int KEEPALIVE_TIME_MS = 500;
+constexpr int KEEPALIVE_TIMEOUT_MS = 500;
 constexpr int MIN_RECONNECT_BACKOFF_MS = 100;
 constexpr int MAX_RECONNECT_BACKOFF_MS = 500;
 constexpr int MAX_MESSAGE_BYTES = 256 << 20;
--- /dev/null
+++ b/cyclamenwood/testing/codec_test.cc
@@ -0,0 +1,187 @@
+// The platform's bodies: what is read, and that bad ones are refused whole.
+#include "platform/codec.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace cyclamenwood::platform {
+namespace {
+
+using nlohmann::json;
+
+json make_config() {
+  return json::parse(R"({"version":7,
+    "routes":[{"name":"r","host":"h","pathPrefix":"/a/","kind":"non_idempotent",
+      "timeoutMs":1500,"targetLatencyMs":60,"priority":2,"service":"s",
+      "maxAttempts":4,"slackFactor":1.6}],
+    "services":[{"name":"s","healthPath":"/healthz","standby":false}],
+    "limits":{"maxBodyBytes":262144}})");
+}
+
+TEST(codec, reads_a_configuration) {
+  result<route_table> table = read_routes(make_config().dump());
+  ASSERT_TRUE(ok(table));
+  EXPECT_EQ(value(table).version, 7U);
+  const route& read = value(table).routes.at(0);
+  EXPECT_EQ(read.path_prefix, "/a/");
+  EXPECT_EQ(read.max_attempts, 4U);
+  EXPECT_DOUBLE_EQ(read.slack_factor, 1.6);
+}
+
+TEST(codec, refuses_invalid_configurations_whole) {
+  std::string good = make_config().dump();
+  for (size_t length = 0; length < good.size(); ++length)
+    EXPECT_FALSE(ok(read_routes(good.substr(0, length)))) << length;
+  json unknown_service = make_config();
+  unknown_service["routes"][0]["service"] = "t";
+  json same_place = make_config();
+  same_place["routes"].push_back(same_place["routes"][0]);
+  json no_timeout = make_config();
+  no_timeout["routes"][0]["timeoutMs"] = 0;
+  json mistyped = make_config();
+  mistyped["routes"][0]["host"] = 5;
+  json no_version = make_config();
+  no_version.erase("version");
+  json negative = make_config();
+  negative["version"] = -1;
+  for (const json& bad : {unknown_service, same_place, no_timeout, mistyped,
+                          no_version, negative})
+    EXPECT_FALSE(ok(read_routes(bad.dump()))) << bad.dump();
+}
+
+json make_report() {
+  return json::parse(R"({"service":"s","address":"10.0.0.9:8080",
+    "zone":"z","version":"v1","slots":8,"state":"ready","coldLeftMs":0,
+    "capacity":{"cpu":16000,"memMb":32768,"gpus":1},"labels":["a","r1-3"],
+    "clockMs":482113,"seqNo":4,"born":1700000000000})");
+}
+
+TEST(codec, reads_a_report_of_an_upstream) {
+  result<wire::upstream> report =
+      read_announcement("i-1", make_report().dump());
+  ASSERT_TRUE(ok(report));
+  EXPECT_EQ(value(report).incarnation(), 1'700'000'000'000U);
+  EXPECT_EQ(value(report).capacity().cpu_milli(), 16000U);
+  EXPECT_EQ(value(report).labels_size(), 2);
+}
+
+TEST(codec, a_report_with_missing_or_mistyped_fields_names_no_upstream) {
+  for (const char* field :
+       {"service", "address", "zone", "state", "seqNo", "capacity"}) {
+    json missing = make_report();
+    missing.erase(field);
+    EXPECT_FALSE(ok(read_announcement("i-1", missing.dump()))) << field;
+    json mistyped = make_report();
+    mistyped[field] = json::array({1});
+    EXPECT_FALSE(ok(read_announcement("i-1", mistyped.dump()))) << field;
+  }
+  json state = make_report();
+  state["state"] = "asleep";
+  EXPECT_FALSE(ok(read_announcement("i-1", state.dump())));
+  EXPECT_FALSE(ok(read_announcement("i-1", "\xff\xfe")));
+  EXPECT_FALSE(ok(read_announcement("", make_report().dump())));
+}
+
+caller_call read_submission(const std::string& body) {
+  http_request request;
+  request.method = "POST";
+  request.path = "/a/0123456789abcdef";
+  request.body = body;
+  request.headers["Host"] = "h";
+  request.headers["Deadline-Ms"] = "1500";
+  return read_call(request);
+}
+
+TEST(codec, reads_a_job) {
+  caller_call call = read_submission(
+      R"({"spec":"x","bestEffort":true,"phases":[
+        {"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1-3"},
+        {"count":2,"cpu":1,"dependsOn":[0],"requirements":"b"}]})");
+  EXPECT_EQ(call.wait_ms, 1500);
+  ASSERT_TRUE(ok(call.job));
+  const job_spec& job = value(call.job);
+  EXPECT_TRUE(job.best_effort);
+  EXPECT_EQ(job.steps.at(0).rack, "r1-3");
+  EXPECT_EQ(job.steps.at(1).label, "b");
+  EXPECT_EQ(job.steps.at(1).depends_on, std::vector<uint32_t>{0});
+}
+
+TEST(codec, names_what_is_not_served) {
+  for (const char* part :
+       {R"("gang":true)", R"("rackLocal":true)", R"("speculative":true)",
+        R"("longRunning":true)", R"("fills":true)", R"("antiAffinity":2)"}) {
+    caller_call call = read_submission(
+        R"({"spec":"x","bestEffort":true,"phases":[{"count":1,)" +
+        std::string(part) + "}]}");
+    ASSERT_TRUE(ok(call.job));
+    EXPECT_FALSE(value(call.job).not_served.empty()) << part;
+  }
+}
+
+TEST(codec, refuses_malformed_jobs) {
+  for (const char* body :
+       {"", "{", "[]", R"({"phases":[{"count":1}]})", R"({"spec":"x"})",
+        R"({"spec":"x","phases":[]})", R"({"spec":"x","phases":[5]})",
+        R"({"spec":"x","phases":[{"count":0}]})",
+        R"({"spec":"x","phases":[{"count":1,"cpu":-1}]})",
+        R"({"spec":"x","phases":[{"count":1,"cpu":"2"}]})",
+        R"({"spec":"x","phases":[{"count":1,"dependsOn":[0]}]})",
+        R"({"spec":7,"phases":[{"count":1}]})"})
+    EXPECT_FALSE(ok(read_submission(body).job)) << body;
+  std::string long_spec(5000, 'x');
+  EXPECT_FALSE(ok(read_submission(R"({"spec":")" + long_spec +
+                                  R"(","phases":[{"count":1}]})")
+                      .job));
+}
+
+TEST(codec, reads_lists_and_takes_broken_ones_for_no_answer) {
+  order_reply reply =
+      read_reply(order_kind::hold, 200,
+                 R"({"clockMs":9,"born":3,"running":[["j.0.0.1",2,"",41]],
+          "ended":[[58,"j.0.0.0",1,"done",""]]})");
+  EXPECT_EQ(reply.outcome, order_outcome::accepted);
+  EXPECT_EQ(reply.incarnation, 3U);
+  EXPECT_EQ(reply.running.at(0).percent, 41);
+  EXPECT_EQ(reply.ended.at(0).number, 58U);
+  for (const char* body :
+       {"", "{}", R"({"running":[],"ended":[[1,"t",1,"odd",""]]})",
+        R"({"running":[["t","1","",1]],"ended":[]})", R"({"running":[]})"})
+    EXPECT_EQ(read_reply(order_kind::hold, 200, body).outcome,
+              order_outcome::unanswered)
+        << body;
+}
+
+TEST(codec, tells_rejections_apart) {
+  auto outcome = [](long status, const char* body) {
+    return read_reply(order_kind::start, status, body).outcome;
+  };
+  EXPECT_EQ(outcome(200, "{}"), order_outcome::accepted);
+  EXPECT_EQ(outcome(409, R"({"reason":"fence"})"), order_outcome::stale_token);
+  EXPECT_EQ(outcome(409, R"({"reason":"old"})"), order_outcome::stale_attempt);
+  EXPECT_EQ(outcome(409, R"({"reason":"late"})"), order_outcome::late);
+  EXPECT_EQ(outcome(409, R"({"reason":"room"})"), order_outcome::no_room);
+  EXPECT_EQ(outcome(421, ""), order_outcome::other_incarnation);
+  EXPECT_EQ(outcome(503, ""), order_outcome::unhealthy);
+  EXPECT_EQ(outcome(0, ""), order_outcome::unanswered);
+  EXPECT_EQ(outcome(409, "{"), order_outcome::unanswered);
+}
+
+TEST(codec, a_refusal_says_when_to_come_back) {
+  api_answer answer = write_answer({1, caller_outcome::refused, 1200, 0});
+  EXPECT_EQ(answer.status, 503);
+  ASSERT_EQ(answer.headers.size(), 1U);
+  EXPECT_EQ(answer.headers[0].second, "2");
+}
+
+TEST(codec, a_redirect_names_the_leaders_control_address) {
+  replica_operator_answer answer;
+  answer.outcome = operator_outcome::redirected;
+  answer.leader_host = "10.0.0.4:7720";
+  api_answer written = write_operator_answer(answer, "/-/config/read", "8166");
+  EXPECT_EQ(written.status, 307);
+  EXPECT_EQ(written.headers.at(0).second, "http://10.0.0.4:8166/-/config/read");
+}
+
+}  // namespace
+}  // namespace cyclamenwood::platform
--- /dev/null
+++ b/cyclamenwood/testing/control_test.cc
@@ -0,0 +1,345 @@
+// The control log's part of a replica, and what it decides with.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "cyclamenwood/replica.h"
+
+namespace cyclamenwood {
+namespace {
+
+constexpr int64_t STEP_MS = 10;
+
+wire::roll_out make_config(uint64_t version, const std::string& content) {
+  wire::roll_out config;
+  config.set_version(version);
+  config.set_content(content);
+  return config;
+}
+
+wire::owner_grant make_grant(const std::string& zone,
+                             const std::string& host,
+                             uint64_t incarnation) {
+  wire::owner_grant grant;
+  grant.set_zone(zone);
+  grant.set_host(host);
+  grant.set_incarnation(incarnation);
+  return grant;
+}
+
+TEST(control_log, the_highest_version_stays_whatever_comes_after) {
+  control_log log;
+  EXPECT_TRUE(apply_latest(log, make_config(4, "four")));
+  EXPECT_FALSE(apply_latest(log, make_config(3, "three")));
+  EXPECT_FALSE(apply_latest(log, make_config(4, "another four")));
+  EXPECT_EQ(log.table.latest().content(), "four");
+  EXPECT_TRUE(apply_latest(log, make_config(9, "nine")));
+  EXPECT_EQ(log.table.latest().content(), "nine");
+}
+
+TEST(control_log, a_token_is_never_given_twice_over_a_snapshot) {
+  control_log log;
+  apply_grant(log, make_grant("kranj", "e1", 1));
+  apply_grant(log, make_grant("kranj", "e2", 2));
+  control_log restored = load_control(save_control(log));
+  apply_grant(restored, make_grant("vic", "e3", 3));
+  EXPECT_EQ(find_grant(restored, "kranj")->token(), 2U);
+  EXPECT_EQ(find_grant(restored, "vic")->token(), 3U);
+  EXPECT_EQ(restored.table.grants_size(), 2);
+}
+
+known_entry_host heard(const std::string& zone,
+                       uint64_t incarnation,
+                       unix_ms heard_ms) {
+  known_entry_host host;
+  host.zone = zone;
+  host.incarnation = incarnation;
+  host.first_heard_ms = heard_ms;
+  host.heard_ms = heard_ms;
+  return host;
+}
+
+TEST(owner_policy, keeps_a_live_owner_and_replaces_a_silent_one) {
+  control_log log;
+  apply_grant(log, make_grant("kranj", "e1", 1));
+  entry_host_map hosts{{"e1", heard("kranj", 1, 1000)},
+                       {"e2", heard("kranj", 2, 1000)},
+                       {"e3", heard("vic", 3, 1000)}};
+  std::vector<wire::owner_grant> wanted = choose_owners(log, hosts, 1100);
+  ASSERT_EQ(wanted.size(), 1U);
+  EXPECT_EQ(wanted[0].zone(), "vic");
+  hosts["e2"].heard_ms = 2000;
+  wanted = choose_owners(log, hosts, 2000);
+  ASSERT_EQ(wanted.size(), 1U);
+  EXPECT_EQ(wanted[0].host(), "e2");
+}
+
+TEST(owner_policy, replaces_an_owner_that_drains_or_was_restarted) {
+  control_log log;
+  apply_grant(log, make_grant("kranj", "e1", 1));
+  entry_host_map hosts{{"e1", heard("kranj", 1, 1000)},
+                       {"e2", heard("kranj", 2, 1000)}};
+  hosts["e1"].draining = true;
+  EXPECT_EQ(choose_owners(log, hosts, 1000).at(0).host(), "e2");
+  hosts["e1"].draining = false;
+  hosts["e1"].incarnation = 7;
+  EXPECT_EQ(choose_owners(log, hosts, 1000).at(0).incarnation(), 7U);
+}
+
+// A zone that is cut off keeps its owner: nobody else can reach its upstreams.
+TEST(owner_policy, grants_nothing_to_other_zones) {
+  control_log log;
+  apply_grant(log, make_grant("kranj", "e1", 1));
+  entry_host_map hosts{{"e3", heard("vic", 3, 5000)}};
+  std::vector<wire::owner_grant> wanted = choose_owners(log, hosts, 5000);
+  ASSERT_EQ(wanted.size(), 1U);
+  EXPECT_EQ(wanted[0].zone(), "vic");
+}
+
+wire::upstream announcement(uint64_t incarnation,
+                            uint64_t sequence,
+                            wire::upstream_state state) {
+  wire::upstream upstream;
+  upstream.set_id("u1");
+  upstream.set_zone("kranj");
+  upstream.set_incarnation(incarnation);
+  upstream.set_sequence(sequence);
+  upstream.set_state(state);
+  return upstream;
+}
+
+TEST(directory, renewals_are_no_news_and_older_messages_are_dropped) {
+  upstream_directory directory;
+  EXPECT_TRUE(
+      hear_upstream(directory, announcement(5, 1, wire::UPSTREAM_READY), 1000));
+  EXPECT_FALSE(
+      hear_upstream(directory, announcement(5, 2, wire::UPSTREAM_READY), 2000));
+  EXPECT_TRUE(hear_upstream(directory,
+                            announcement(5, 3, wire::UPSTREAM_LEAVING), 3000));
+  // Delayed, and of an earlier life.
+  EXPECT_FALSE(
+      hear_upstream(directory, announcement(5, 2, wire::UPSTREAM_READY), 3100));
+  EXPECT_FALSE(
+      hear_upstream(directory, announcement(4, 9, wire::UPSTREAM_READY), 3200));
+  EXPECT_TRUE(
+      hear_upstream(directory, announcement(6, 1, wire::UPSTREAM_READY), 3300));
+  wire::control_news news;
+  add_changes(directory, "kranj", 2, news);
+  EXPECT_EQ(news.upstreams_size(), 1);
+  wire::control_news elsewhere;
+  add_changes(directory, "vic", 0, elsewhere);
+  EXPECT_EQ(elsewhere.upstreams_size(), 0);
+}
+
+// Replicas with a network that delivers at once, but for hosts that are cut.
+class control_fixture : public testing::Test {
+ protected:
+  void SetUp() override {
+    for (const char* host : {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"})
+      add(host, true);
+  }
+
+  void add(const std::string& host, bool founds) {
+    host_settings settings;
+    settings.rpc = host;
+    settings.zone = "zone-of-" + host;
+    settings.seeds = {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"};
+    raft_options raft;
+    raft.election_timeout_ms = 500;
+    raft.heartbeat_interval_ms = 100;
+    raft.open_membership = true;
+    uint64_t identity = founds ? founding_identity(host) : 900 + hosts.size();
+    hosts.emplace(host, make_control_replica(settings, {}, raft, identity,
+                                             identity, now));
+    feed(host, replica_started{now});
+  }
+
+  void feed(const std::string& host, const replica_event& event) {
+    std::deque<std::pair<std::string, replica_event>> inbox{{host, event}};
+    while (!inbox.empty()) {
+      auto [to, next] = std::move(inbox.front());
+      inbox.pop_front();
+      bool wrote = false;
+      for (replica_effect& effect : reduce(hosts.at(to), next)) {
+        if (std::holds_alternative<replica_persist>(effect))
+          wrote = true;
+        if (auto* sent = std::get_if<replica_send>(&effect))
+          pass_on(to, *sent, inbox);
+        if (auto* answer = std::get_if<replica_operator_answer>(&effect))
+          answers[answer->exchange] = *answer;
+      }
+      if (wrote)
+        inbox.emplace_back(to, replica_synced{now, 0});
+    }
+  }
+
+  void pass_on(const std::string& from,
+               const replica_send& sent,
+               std::deque<std::pair<std::string, replica_event>>& inbox) {
+    if (sent.envelope.has_control_news())
+      news[sent.host] = sent.envelope.control_news();
+    bool reaches = hosts.contains(sent.host) && !cut.contains(from) &&
+                   !cut.contains(sent.host);
+    if (reaches)
+      inbox.emplace_back(sent.host, replica_received{now, sent.envelope});
+  }
+
+  void run_for(int64_t ms) {
+    for (unix_ms end = now + ms; now < end;) {
+      now += STEP_MS;
+      for (const auto& [host, state] : hosts)
+        feed(host, replica_tick{now});
+    }
+  }
+
+  std::string leader() {
+    for (const auto& [host, state] : hosts) {
+      if (!cut.contains(host) && raft_leader_ready(group(host).raft))
+        return host;
+    }
+    return {};
+  }
+
+  const replica_group& group(const std::string& host) {
+    return hosts.at(host).groups.begin()->second;
+  }
+
+  void hello(const std::string& from, const std::string& zone) {
+    wire::envelope envelope;
+    envelope.set_from(from);
+    envelope.set_incarnation(1);
+    envelope.mutable_entry_hello()->set_zone(zone);
+    for (const auto& [host, state] : hosts) {
+      if (!cut.contains(host))
+        feed(host, replica_received{now, envelope});
+    }
+  }
+
+  unix_ms now = 1'000'000;
+  std::map<std::string, replica_state> hosts;
+  std::map<uint64_t, replica_operator_answer> answers;
+  std::map<std::string, wire::control_news> news;
+  std::set<std::string> cut;
+};
+
+TEST_F(control_fixture, founding_takes_the_seeds_and_serves_the_operator) {
+  run_for(3000);
+  std::string first = leader();
+  ASSERT_FALSE(first.empty());
+  feed(first, replica_config_offered{now, 1, make_config(4, "four")});
+  run_for(200);
+  EXPECT_EQ(answers.at(1).outcome, operator_outcome::accepted);
+  feed(first, replica_config_wanted{now, 2});
+  run_for(200);
+  EXPECT_EQ(answers.at(2).outcome, operator_outcome::content);
+  EXPECT_EQ(answers.at(2).content, "four");
+  for (const auto& [host, state] : hosts) {
+    if (host == first)
+      continue;
+    feed(host, replica_config_wanted{now, 3});
+    EXPECT_EQ(answers.at(3).outcome, operator_outcome::redirected);
+    EXPECT_EQ(answers.at(3).leader_host, first);
+  }
+}
+
+// A leader that lost its majority must not show what may be old.
+TEST_F(control_fixture, a_cut_off_leader_acknowledges_and_shows_nothing) {
+  run_for(3000);
+  std::string old = leader();
+  feed(old, replica_config_offered{now, 1, make_config(4, "four")});
+  run_for(100);
+  cut.insert(old);
+  feed(old, replica_config_offered{now, 2, make_config(5, "five")});
+  feed(old, replica_config_wanted{now, 3});
+  run_for(3000);
+  EXPECT_EQ(answers.at(2).outcome, operator_outcome::unavailable);
+  EXPECT_EQ(answers.at(3).outcome, operator_outcome::unavailable);
+  std::string next = leader();
+  ASSERT_FALSE(next.empty());
+  feed(next, replica_config_offered{now, 4, make_config(6, "six")});
+  run_for(200);
+  EXPECT_EQ(answers.at(4).outcome, operator_outcome::accepted);
+  cut.clear();
+  run_for(3000);
+  feed(leader(), replica_config_wanted{now, 5});
+  run_for(200);
+  EXPECT_EQ(answers.at(5).content, "six");
+}
+
+TEST_F(control_fixture, an_owner_is_granted_and_replaced_when_silent) {
+  for (int i = 0; i < 200; ++i) {
+    hello("e1", "kranj");
+    run_for(20);
+  }
+  ASSERT_EQ(news.at("e1").grants_size(), 1);
+  EXPECT_EQ(news.at("e1").grants(0).host(), "e1");
+  uint64_t token = news.at("e1").grants(0).token();
+  for (int i = 0; i < 100; ++i) {
+    hello("e2", "kranj");
+    run_for(20);
+  }
+  EXPECT_EQ(news.at("e2").grants(0).host(), "e2");
+  EXPECT_GT(news.at("e2").grants(0).token(), token);
+}
+
+// A process that was stopped for a while has heard from nobody: it must not
+// take that for everybody's silence.
+TEST_F(control_fixture, a_frozen_leader_replaces_no_owner_when_it_wakes) {
+  for (int i = 0; i < 200; ++i) {
+    hello("e1", "kranj");
+    hello("e2", "kranj");
+    run_for(20);
+  }
+  std::string owner = news.at("e1").grants(0).host();
+  uint64_t token = news.at("e1").grants(0).token();
+  now += 5000;
+  // The tick comes before the messages that wait.
+  for (const auto& [host, state] : hosts)
+    feed(host, replica_tick{now});
+  for (int i = 0; i < 100; ++i) {
+    hello("e1", "kranj");
+    hello("e2", "kranj");
+    run_for(20);
+  }
+  EXPECT_EQ(news.at("e1").grants(0).host(), owner);
+  EXPECT_EQ(news.at("e1").grants(0).token(), token);
+}
+
+TEST_F(control_fixture, an_empty_replica_elsewhere_takes_a_lost_ones_place) {
+  run_for(3000);
+  std::string lost = leader() == "10.0.0.1:7" ? "10.0.0.2:7" : "10.0.0.1:7";
+  cut.insert(lost);
+  add("10.0.0.4:7", false);
+  run_for(8000);
+  const wire::membership& members = group(leader()).raft.members;
+  ASSERT_EQ(members.voters_size(), 3);
+  std::set<std::string> voters;
+  for (const wire::member& voter : members.voters())
+    voters.insert(voter.host());
+  EXPECT_TRUE(voters.contains("10.0.0.4:7"));
+  EXPECT_FALSE(voters.contains(lost));
+}
+
+TEST_F(control_fixture, a_further_replica_does_not_vote_while_all_are_there) {
+  run_for(3000);
+  add("10.0.0.4:7", false);
+  run_for(8000);
+  EXPECT_EQ(group(leader()).raft.members.voters_size(), 3);
+}
+
+TEST_F(control_fixture, upstreams_reach_their_zones_entry_hosts_only) {
+  run_for(3000);
+  hello("e1", "kranj");
+  hello("e2", "vic");
+  news.clear();
+  feed("10.0.0.1:7",
+       replica_upstream_heard{now, announcement(5, 1, wire::UPSTREAM_READY)});
+  EXPECT_EQ(news.at("e1").upstreams_size(), 1);
+  EXPECT_EQ(news.at("e2").upstreams_size(), 0);
+  feed("10.0.0.1:7", replica_upstream_left{now, "u1"});
+  EXPECT_EQ(news.at("e1").upstreams(0).state(), wire::UPSTREAM_LEAVING);
+}
+
+}  // namespace
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/testing/fake_upstream.cc
@@ -0,0 +1,121 @@
+#include "cyclamenwood/testing/fake_upstream.h"
+
+#include <algorithm>
+
+namespace cyclamenwood {
+namespace {
+
+constexpr int64_t LONGEST_LEASE_MS = 1000;
+
+}  // namespace
+
+fake_upstream::fake_upstream(const std::string& id,
+                             const std::string& zone,
+                             uint32_t cpu_milli,
+                             int64_t clock_offset_ms,
+                             int64_t run_ms)
+    : clock_offset_ms_(clock_offset_ms), run_ms_(run_ms) {
+  info_.set_id(id);
+  info_.set_incarnation(1);
+  info_.set_sequence(1);
+  info_.set_service("fit-desk");
+  info_.set_address(id + ":1");
+  info_.set_zone(zone);
+  info_.set_state(wire::UPSTREAM_READY);
+  info_.mutable_capacity()->set_cpu_milli(cpu_milli);
+  info_.mutable_capacity()->set_memory_mb(1 << 20);
+}
+
+uint32_t fake_upstream::used_cpu_milli() const {
+  uint32_t used = 0;
+  for (const auto& [task, run] : runs_)
+    used += run.cpu_milli;
+  return used;
+}
+
+void fake_upstream::end(const std::string& task, run_end how) {
+  auto found = runs_.find(task);
+  over_[task] = std::max(over_[task], found->second.attempt);
+  ends_.push_back({next_end_++, task, found->second.attempt, how});
+  runs_.erase(found);
+}
+
+void fake_upstream::advance(unix_ms now) {
+  std::vector<std::pair<std::string, run_end>> over;
+  for (const auto& [task, run] : runs_) {
+    if (run.ends_ms <= now)
+      over.emplace_back(task, failing_ ? run_end::failed : run_end::done);
+    else if (lease_until_ms_ <= clock(now))
+      over.emplace_back(task, run_end::lapsed);
+  }
+  for (const auto& [task, how] : over)
+    end(task, how);
+}
+
+void fake_upstream::restart(unix_ms /*now*/) {
+  info_.set_incarnation(info_.incarnation() + 1);
+  info_.set_sequence(1);
+  highest_token_ = 0;
+  lease_until_ms_ = 0;
+  runs_.clear();
+  over_.clear();
+  ends_.clear();
+  next_end_ = 1;
+}
+
+order_outcome fake_upstream::start(const run_order& order, unix_ms now) {
+  auto running = runs_.find(order.task);
+  if (running != runs_.end() && running->second.attempt == order.attempt)
+    return order_outcome::accepted;
+  auto over = over_.find(order.task);
+  bool stale = over != over_.end() && order.attempt <= over->second;
+  if (stale || running != runs_.end())
+    return order_outcome::stale_attempt;
+  if (order.lease_deadline_ms <= clock(now))
+    return order_outcome::late;
+  uint32_t cpu = cpu_of(order.task);
+  if (used_cpu_milli() + cpu > info_.capacity().cpu_milli()) {
+    ++rejected_for_room_;
+    return order_outcome::no_room;
+  }
+  runs_[order.task] = {order.attempt, cpu, now, now + (failing_ ? 1 : run_ms_)};
+  ++starts_;
+  return order_outcome::accepted;
+}
+
+order_reply fake_upstream::carry_out(const run_order& order, unix_ms now) {
+  advance(now);
+  order_reply reply;
+  reply.clock_ms = clock(now);
+  reply.incarnation = info_.incarnation();
+  if (order.token < highest_token_) {
+    reply.outcome = order_outcome::stale_token;
+    return reply;
+  }
+  highest_token_ = order.token;
+  int64_t longest = clock(now) + LONGEST_LEASE_MS;
+  lease_until_ms_ =
+      std::max(lease_until_ms_, std::min(order.lease_deadline_ms, longest));
+  reply.outcome = order_outcome::accepted;
+  if (order.kind == order_kind::start) {
+    reply.outcome = start(order, now);
+  } else if (order.kind == order_kind::stop) {
+    over_[order.task] = std::max(over_[order.task], order.attempt);
+    auto running = runs_.find(order.task);
+    if (running != runs_.end() && running->second.attempt <= order.attempt)
+      end(order.task, run_end::stopped);
+  } else {
+    std::erase_if(ends_, [&order](const listed_end& end) {
+      return end.number <= order.last_seen;
+    });
+    for (const auto& [task, run] : runs_) {
+      int64_t percent = (now - run.began_ms) * 100 /
+                        std::max<int64_t>(run.ends_ms - run.began_ms, 1);
+      reply.running.push_back({task, run.attempt, percent});
+    }
+    reply.ended = ends_;
+  }
+  return reply;
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/testing/intake_test.cc
@@ -0,0 +1,314 @@
+// The callers' part of an entry host, and the choice of a zone.
+#include "cyclamenwood/intake.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "cyclamenwood/host_entry.h"
+
+namespace cyclamenwood {
+namespace {
+
+job_spec make_job(uint32_t tasks, int64_t estimate_ms) {
+  job_spec job;
+  job.spec = "spec";
+  job.best_effort = true;
+  step_spec step;
+  step.count = tasks;
+  step.need.set_cpu_milli(1000);
+  step.estimate_ms = estimate_ms;
+  job.steps = {step};
+  return job;
+}
+
+class intake_fixture : public testing::Test {
+ protected:
+  intake_fixture() {
+    state.zone = "kranj";
+    route_table table;
+    table.version = 1;
+    route queue;
+    queue.name = "q";
+    queue.host = "h";
+    queue.path_prefix = "/q/";
+    queue.service = "fit-desk";
+    queue.timeout_ms = 500;
+    queue.max_attempts = 2;
+    table.routes = {queue};
+    state.routes = table;
+    grant("kranj", "e1", 1);
+    grant("vic", "e2", 2);
+    tell_room("kranj", 1, {4000});
+    tell_room("vic", 2, {4000});
+  }
+
+  void grant(const std::string& zone, const std::string& host, uint64_t token) {
+    wire::control_news news;
+    wire::owner_grant& added = *news.add_grants();
+    added.set_zone(zone);
+    added.set_host(host);
+    added.set_token(token);
+    learn_grants(state, news, now, out);
+  }
+
+  void tell_room(const std::string& zone,
+                 uint64_t token,
+                 std::vector<uint32_t> free) {
+    wire::pool_state told;
+    told.set_zone(zone);
+    told.set_token(token);
+    wire::service_room& room = *told.add_services();
+    room.set_service("fit-desk");
+    room.set_total_cpu_milli(4000);
+    for (uint32_t cpu : free)
+      room.add_free_cpu_milli(cpu);
+    hear_pool(state, told, now);
+  }
+
+  void submit(uint64_t exchange,
+              const std::string& id,
+              const job_spec& job,
+              int64_t wait_ms = 2000) {
+    caller_call call;
+    call.exchange = exchange;
+    call.host = "h";
+    call.path = "/q/" + id;
+    call.wait_ms = wait_ms;
+    call.job = job;
+    call_arrived(state, call, now, out);
+  }
+
+  void report(uint64_t submission,
+              uint32_t task,
+              wire::run_outcome outcome,
+              bool started = true) {
+    wire::run_results results;
+    wire::run_result& result = *results.add_results();
+    result.set_submission(submission);
+    result.set_task(task);
+    result.set_outcome(outcome);
+    result.set_started(started);
+    take_results(state, "e1", results, now, out);
+  }
+
+  std::vector<wire::run_request> requests(const std::string& host) const {
+    std::vector<wire::run_request> found;
+    for (const auto& [to, envelope] : out.messages) {
+      if (to == host && envelope.has_run_request())
+        found.push_back(envelope.run_request());
+    }
+    return found;
+  }
+
+  unix_ms now = 1'000'000;
+  intake state;
+  intake_output out;
+};
+
+TEST_F(intake_fixture, a_job_is_answered_when_all_its_tasks_are_done) {
+  submit(1, "a", make_job(2, 100));
+  ASSERT_EQ(requests("e1").size(), 1U);
+  uint64_t submission = requests("e1")[0].submission();
+  report(submission, 0, wire::RUN_DONE);
+  EXPECT_TRUE(out.answers.empty());
+  report(submission, 0, wire::RUN_DONE);
+  EXPECT_TRUE(out.answers.empty());
+  report(submission, 1, wire::RUN_DONE);
+  ASSERT_EQ(out.answers.size(), 1U);
+  EXPECT_EQ(out.answers[0].outcome, caller_outcome::completed);
+  EXPECT_TRUE(out.messages.back().second.has_run_release());
+}
+
+// Load: a job wider than the own zone's free room.
+TEST_F(intake_fixture, a_wide_step_is_spread_over_zones_with_room) {
+  submit(1, "a", make_job(6, 100));
+  ASSERT_EQ(requests("e1").size(), 1U);
+  ASSERT_EQ(requests("e2").size(), 1U);
+  EXPECT_EQ(requests("e1")[0].tasks_size(), 4);
+  EXPECT_EQ(requests("e2")[0].tasks_size(), 2);
+}
+
+TEST_F(intake_fixture, a_new_owner_is_asked_for_what_is_missing) {
+  submit(1, "a", make_job(2, 100));
+  uint64_t submission = requests("e1")[0].submission();
+  report(submission, 0, wire::RUN_DONE);
+  out = {};
+  grant("kranj", "e3", 7);
+  ASSERT_EQ(requests("e3").size(), 1U);
+  EXPECT_TRUE(requests("e3")[0].resumed());
+  ASSERT_EQ(requests("e3")[0].tasks_size(), 1);
+  EXPECT_EQ(requests("e3")[0].tasks(0), 1U);
+  // An owner of before may have run some of it.
+  report(submission, 1, wire::RUN_EXPIRED, false);
+  EXPECT_EQ(out.answers.at(0).outcome, caller_outcome::given_up);
+}
+
+TEST_F(intake_fixture, a_job_that_nobody_started_is_refused_with_a_time) {
+  submit(1, "a", make_job(1, 100));
+  report(requests("e1")[0].submission(), 0, wire::RUN_EXPIRED, false);
+  ASSERT_EQ(out.answers.size(), 1U);
+  EXPECT_EQ(out.answers[0].outcome, caller_outcome::refused);
+  EXPECT_GT(out.answers[0].retry_after_ms, 0);
+}
+
+TEST_F(intake_fixture, the_callers_deadline_bounds_the_job) {
+  submit(1, "a", make_job(1, 100), 2000);
+  now += 1900;
+  tell_room("kranj", 1, {4000});
+  tick_intake(state, now, out);
+  EXPECT_TRUE(out.answers.empty());
+  now += 200;
+  tick_intake(state, now, out);
+  ASSERT_EQ(out.answers.size(), 1U);
+}
+
+TEST_F(intake_fixture, the_same_job_again_waits_for_the_first) {
+  submit(1, "a", make_job(1, 100));
+  submit(2, "a", make_job(1, 100));
+  ASSERT_EQ(requests("e1").size(), 1U);
+  report(requests("e1")[0].submission(), 0, wire::RUN_DONE);
+  EXPECT_EQ(out.answers.size(), 2U);
+}
+
+TEST_F(intake_fixture, a_caller_that_leaves_releases_its_job) {
+  submit(1, "a", make_job(1, 100));
+  out = {};
+  caller_left(state, 1, out);
+  ASSERT_EQ(out.messages.size(), 1U);
+  EXPECT_TRUE(out.messages[0].second.has_run_release());
+  EXPECT_TRUE(state.jobs.empty());
+}
+
+TEST_F(intake_fixture, what_is_not_served_is_refused_and_never_sent) {
+  job_spec stored = make_job(1, 100);
+  stored.best_effort = false;
+  submit(1, "a", stored);
+  job_spec gang = make_job(1, 100);
+  gang.not_served = "gang";
+  submit(2, "b", gang);
+  ASSERT_EQ(out.answers.size(), 2U);
+  EXPECT_EQ(out.answers[0].outcome, caller_outcome::refused);
+  EXPECT_EQ(out.answers[1].outcome, caller_outcome::refused);
+  EXPECT_TRUE(out.messages.empty());
+}
+
+TEST_F(intake_fixture, a_later_step_waits_for_the_steps_it_depends_on) {
+  job_spec job = make_job(1, 100);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].depends_on = {0};
+  submit(1, "a", job);
+  ASSERT_EQ(requests("e1").size(), 1U);
+  report(requests("e1")[0].submission(), 0, wire::RUN_DONE);
+  ASSERT_EQ(requests("e1").size(), 2U);
+  EXPECT_EQ(requests("e1")[1].step(), 1U);
+}
+
+TEST_F(intake_fixture, an_unknown_route_and_a_missing_configuration) {
+  caller_call call;
+  call.host = "h";
+  call.path = "/none/x";
+  call.job = make_job(1, 100);
+  call_arrived(state, call, now, out);
+  EXPECT_EQ(out.answers.at(0).outcome, caller_outcome::no_route);
+  state.routes.reset();
+  call_arrived(state, call, now, out);
+  EXPECT_EQ(out.answers.at(1).outcome, caller_outcome::refused);
+}
+
+TEST_F(intake_fixture, a_draining_process_refuses_late_calls) {
+  state.last_calls_ms = now - 1;
+  submit(1, "a", make_job(1, 100));
+  EXPECT_EQ(out.answers.at(0).outcome, caller_outcome::refused);
+  EXPECT_TRUE(out.messages.empty());
+}
+
+TEST(zone_choice, pieces_smaller_than_the_task_are_no_room) {
+  zone_rooms rooms;
+  rooms["own"].free_cpu_milli = {600, 600, 600};
+  rooms["own"].total_cpu_milli = 3000;
+  rooms["other"].free_cpu_milli = {1000};
+  rooms["other"].total_cpu_milli = 3000;
+  std::vector<std::string> zones = choose_zones(rooms, "own", {1000, 100}, 1);
+  EXPECT_EQ(zones, std::vector<std::string>{"other"});
+}
+
+TEST(zone_choice, without_room_the_shortest_queue_is_taken) {
+  zone_rooms rooms;
+  rooms["own"] = {{}, 500'000, 1000};
+  rooms["other"] = {{}, 100'000, 1000};
+  std::vector<std::string> zones = choose_zones(rooms, "own", {1000, 200}, 3);
+  // 100 ms of queue, then 300 ms, then as much as in the own zone.
+  EXPECT_EQ(zones, (std::vector<std::string>{"other", "other", "own"}));
+  zones = choose_zones(rooms, "own", {1000, 200}, 1);
+  EXPECT_EQ(zones, std::vector<std::string>{"other"});
+}
+
+TEST(zone_choice, nothing_known_gives_nothing) {
+  zone_rooms rooms;
+  EXPECT_TRUE(choose_zones(rooms, "own", {1000, 100}, 2).empty());
+}
+
+TEST(route_table, the_longest_prefix_of_the_host_wins) {
+  route_table table;
+  route longer;
+  longer.host = "h";
+  longer.path_prefix = "/a/b/";
+  route shorter;
+  shorter.host = "h";
+  shorter.path_prefix = "/a/";
+  table.routes = {shorter, longer};
+  EXPECT_EQ(find_route(table, "h", "/a/b/x")->path_prefix, "/a/b/");
+  EXPECT_EQ(find_route(table, "h", "/a/x")->path_prefix, "/a/");
+  EXPECT_EQ(find_route(table, "g", "/a/x"), nullptr);
+}
+
+// A process never goes back to an older configuration.
+TEST(host_entry, an_older_configuration_changes_nothing) {
+  host_settings settings;
+  settings.rpc = "e1";
+  settings.zone = "kranj";
+  host_entry state = make_host_entry(settings, 1, [](std::string_view content) {
+    route_table table;
+    table.version = std::stoull(std::string(content));
+    return result<route_table>(table);
+  });
+  EXPECT_FALSE(is_ready(state));
+  for (uint64_t version : {4, 9, 7}) {
+    wire::envelope envelope;
+    envelope.set_from("r1");
+    wire::roll_out& latest = *envelope.mutable_control_news()->mutable_latest();
+    latest.set_version(version);
+    latest.set_content(std::to_string(version));
+    reduce(state, host_received{1000, envelope});
+  }
+  EXPECT_TRUE(is_ready(state));
+  EXPECT_EQ(state.callers.routes->version, 9U);
+  reduce(state, host_drain{2000, 4000});
+  EXPECT_FALSE(is_ready(state));
+}
+
+// A token that a fence rejected is not used again, whatever the news say.
+TEST(host_entry, a_lost_token_is_not_taken_up_again) {
+  host_settings settings;
+  settings.rpc = "e1";
+  settings.zone = "kranj";
+  host_entry state = make_host_entry(settings, 1, [](std::string_view) {
+    return result<route_table>(route_table());
+  });
+  wire::envelope envelope;
+  envelope.set_from("r1");
+  wire::owner_grant& grant = *envelope.mutable_control_news()->add_grants();
+  grant.set_zone("kranj");
+  grant.set_host("e1");
+  grant.set_incarnation(1);
+  grant.set_token(5);
+  reduce(state, host_received{1000, envelope});
+  EXPECT_EQ(state.upstreams.token, 5U);
+  disown_pool(state.upstreams);
+  reduce(state, host_received{1100, envelope});
+  EXPECT_EQ(state.upstreams.token, 0U);
+}
+
+}  // namespace
+}  // namespace cyclamenwood
