Restarted owners are replaced at once; a job asked for again may have run

A request that is sent again now says so, and its job counts as started. Ruled out: the answer at the deadline (its outcome was 'unknown' there).

An owner that is heard under another incarnation is surely gone; only silence needs time to be told, counted from when the replica began to listen.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -200,7 +200,6 @@
                   uint64_t submission,
                   uint32_t index,
                   const std::string& zone,
-                  bool resumed,
                   unix_ms now,
                   intake_output& out) {
   intake_job& job = intake.jobs.at(submission);
@@ -212,7 +211,7 @@
   request = make_request(job, submission, index, zone, now);
   if (request.tasks().empty())
     return;
-  request.set_resumed(resumed);
+  request.set_resumed(job.zones.contains(zone));
   job.zones[zone] = grant->second.token();
   out.messages.emplace_back(grant->second.host(), std::move(envelope));
 }
@@ -234,7 +233,7 @@
     for (const intake_task& task : job.steps[index].tasks)
       zones.insert(task.zone);
     for (const std::string& zone : zones)
-      send_to_zone(intake, submission, index, zone, false, now, out);
+      send_to_zone(intake, submission, index, zone, now, out);
   }
 }
 
@@ -385,7 +384,7 @@
       // The former owner may have started some of it.
       job.started = true;
       for (uint32_t index = 0; index < job.steps.size(); ++index)
-        send_to_zone(intake, submission, index, grant.zone(), true, now, out);
+        send_to_zone(intake, submission, index, grant.zone(), now, out);
     }
   }
 }
--- a/cyclamenwood/owner_policy.cc
+++ b/cyclamenwood/owner_policy.cc
@@ -11,17 +11,22 @@
 
 bool is_kept(const wire::owner_grant& grant,
              const entry_host_map& hosts,
+             unix_ms listening_since_ms,
              unix_ms now) {
+  bool can_tell_silence = now - listening_since_ms > OWNER_SILENCE_MS;
   auto found = hosts.find(grant.host());
-  return found != hosts.end() && is_alive(found->second, now) &&
-         !found->second.draining &&
-         found->second.incarnation == grant.incarnation();
+  if (found == hosts.end())
+    return !can_tell_silence;
+  const known_entry_host& owner = found->second;
+  return owner.incarnation == grant.incarnation() && !owner.draining &&
+         (is_alive(owner, now) || !can_tell_silence);
 }
 
 }  // namespace
 
 std::vector<wire::owner_grant> choose_owners(const control_log& log,
                                              const entry_host_map& hosts,
+                                             unix_ms listening_since_ms,
                                              unix_ms now) {
   std::map<std::string, std::string> best;
   for (const auto& [name, host] : hosts) {
@@ -35,7 +40,7 @@
   std::vector<wire::owner_grant> wanted;
   for (const auto& [zone, name] : best) {
     const wire::owner_grant* grant = find_grant(log, zone);
-    if (grant != nullptr && is_kept(*grant, hosts, now))
+    if (grant != nullptr && is_kept(*grant, hosts, listening_since_ms, now))
       continue;
     wire::owner_grant next;
     next.set_zone(zone);
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -1,9 +1,10 @@
 // Decides which entry host shall own each availability zone's upstreams.
 //
 // Only a process of the zone itself is chosen, so that a zone that is cut off
-// keeps its owner. An owner is replaced when it has not been heard for the
-// timeout, was restarted, or drains, and another process of its zone can take
-// over.
+// keeps its owner. An owner is replaced when it was restarted or drains, or
+// when it has not been heard for OWNER_SILENCE_MS, and a process of its zone
+// can take over. Who has been listening for a shorter time can't tell silence
+// and leaves silent owners alone.
 #ifndef CYCLAMENWOOD_OWNER_POLICY_H_
 #define CYCLAMENWOOD_OWNER_POLICY_H_
 
@@ -33,9 +34,11 @@
 
 using entry_host_map = std::map<std::string, known_entry_host>;
 
-// Grants to propose now; tokens are not set.
+// Grants to propose now; tokens are not set. `listening_since_ms`: from when
+// on every hello has been heard.
 std::vector<wire::owner_grant> choose_owners(const control_log& log,
                                              const entry_host_map& hosts,
+                                             unix_ms listening_since_ms,
                                              unix_ms now);
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -171,6 +171,7 @@
     job.request.clear_tasks();
     job.deadline_ms = now + request.remaining_ms();
     job.aim_ms = now + request.aim_ms();
+    job.started = request.resumed();
   }
   for (uint32_t task : request.tasks()) {
     auto [state, is_new] = job.tasks.try_emplace(task);
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -200,9 +200,8 @@
   entry_host_map entry_hosts;
   // By exchange.
   std::map<uint64_t, waiting_operator> waiting;
-  // No owner is replaced before this time: the process may have been frozen
-  // or has just begun to lead, and has not heard from everybody yet.
-  unix_ms owners_at_ms = 0;
+  // When the process started or was last found to have stood still.
+  unix_ms listening_since_ms = 0;
   unix_ms last_tick_ms = 0;
   // Index of the newest grant proposed; one round of grants at a time.
   uint64_t grants_index = 0;
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -19,9 +19,6 @@
 
 // Operators try another replica after a second without an answer.
 constexpr int64_t OPERATOR_TIMEOUT_MS = 900;
-// A leader waits this long for the entry hosts to say hello before it
-// replaces owners: two hello intervals more than an owner's allowed silence.
-constexpr int64_t OWNERS_GRACE_MS = OWNER_SILENCE_MS + 400;
 // A tick this late says that the process was not running.
 constexpr int64_t FROZEN_MS = 300;
 // Upstreams announce themselves every second or two.
@@ -122,11 +119,12 @@
                     outbox& out) {
   control_part& control = *state.control;
   bool open = control.grants_index > group.applied_index;
-  if (!raft_leader_ready(group.raft) || open || now < control.owners_at_ms)
+  if (!raft_leader_ready(group.raft) || open)
     return;
   raft_output result;
   for (wire::owner_grant& grant :
-       choose_owners(log_of(group), control.entry_hosts, now)) {
+       choose_owners(log_of(group), control.entry_hosts,
+                     control.listening_since_ms, now)) {
     note(out, "owner_proposed", grant.zone(),
          fmt::format("host={} incarnation={:016x}", grant.host(),
                      grant.incarnation()));
@@ -190,7 +188,8 @@
   state.options = options;
   state.control.emplace();
   state.control->directory.life = seed;
-  state.control->owners_at_ms = now + OWNERS_GRACE_MS;
+  state.control->listening_since_ms = now;
+  state.control->last_tick_ms = now;
   wire::member self;
   self.set_host(state.host);
   self.set_identity(identity);
@@ -300,9 +299,8 @@
 void tick_control(replica_state& state, unix_ms now, outbox& out) {
   control_part& control = *state.control;
   replica_group& group = control_group(state);
-  bool was_frozen = now - control.last_tick_ms > FROZEN_MS;
-  if (was_frozen || group.raft.role != raft_role::leader)
-    control.owners_at_ms = now + OWNERS_GRACE_MS;
+  if (now - control.last_tick_ms > FROZEN_MS)
+    control.listening_since_ms = now;
   control.last_tick_ms = now;
   propose_grants(state, group, now, out);
   expire_operators(state, now, out);
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -66,11 +66,11 @@
   entry_host_map hosts{{"e1", heard("kranj", 1, 1000)},
                        {"e2", heard("kranj", 2, 1000)},
                        {"e3", heard("vic", 3, 1000)}};
-  std::vector<wire::owner_grant> wanted = choose_owners(log, hosts, 1100);
+  std::vector<wire::owner_grant> wanted = choose_owners(log, hosts, 0, 1100);
   ASSERT_EQ(wanted.size(), 1U);
   EXPECT_EQ(wanted[0].zone(), "vic");
   hosts["e2"].heard_ms = 2000;
-  wanted = choose_owners(log, hosts, 2000);
+  wanted = choose_owners(log, hosts, 0, 2000);
   ASSERT_EQ(wanted.size(), 1U);
   EXPECT_EQ(wanted[0].host(), "e2");
 }
@@ -81,10 +81,28 @@
   entry_host_map hosts{{"e1", heard("kranj", 1, 1000)},
                        {"e2", heard("kranj", 2, 1000)}};
   hosts["e1"].draining = true;
-  EXPECT_EQ(choose_owners(log, hosts, 1000).at(0).host(), "e2");
+  EXPECT_EQ(choose_owners(log, hosts, 0, 1000).at(0).host(), "e2");
   hosts["e1"].draining = false;
   hosts["e1"].incarnation = 7;
-  EXPECT_EQ(choose_owners(log, hosts, 1000).at(0).incarnation(), 7U);
+  EXPECT_EQ(choose_owners(log, hosts, 0, 1000).at(0).incarnation(), 7U);
+}
+
+// After a loss of power everywhere a restarted owner must not cost its zone the
+// time after which silence counts.
+TEST(owner_policy, a_restarted_owner_is_replaced_without_waiting) {
+  control_log log;
+  apply_grant(log, make_grant("kranj", "e1", 1));
+  apply_grant(log, make_grant("vic", "e3", 1));
+  entry_host_map hosts{{"e1", heard("kranj", 2, 1000)},
+                       {"e4", heard("vic", 4, 1000)}};
+  std::vector<wire::owner_grant> wanted = choose_owners(log, hosts, 900, 1000);
+  ASSERT_EQ(wanted.size(), 1U);
+  EXPECT_EQ(wanted[0].zone(), "kranj");
+  // e3 may only not have been heard yet.
+  hosts["e4"].heard_ms = 2000;
+  wanted = choose_owners(log, hosts, 900, 2000);
+  ASSERT_EQ(wanted.size(), 1U);
+  EXPECT_EQ(wanted[0].host(), "e4");
 }
 
 // A zone that is cut off keeps its owner: nobody else can reach its upstreams.
@@ -92,7 +110,7 @@
   control_log log;
   apply_grant(log, make_grant("kranj", "e1", 1));
   entry_host_map hosts{{"e3", heard("vic", 3, 5000)}};
-  std::vector<wire::owner_grant> wanted = choose_owners(log, hosts, 5000);
+  std::vector<wire::owner_grant> wanted = choose_owners(log, hosts, 0, 5000);
   ASSERT_EQ(wanted.size(), 1U);
   EXPECT_EQ(wanted[0].zone(), "vic");
 }
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -144,6 +144,15 @@
   EXPECT_EQ(out.answers.at(0).outcome, caller_outcome::given_up);
 }
 
+TEST_F(intake_fixture, a_request_that_is_sent_again_says_so) {
+  submit(1, "a", make_job(1, 100));
+  EXPECT_FALSE(requests("e1").at(0).resumed());
+  now += 500;
+  tick_intake(state, now, out);
+  ASSERT_EQ(requests("e1").size(), 2U);
+  EXPECT_TRUE(requests("e1")[1].resumed());
+}
+
 TEST_F(intake_fixture, a_job_that_nobody_started_is_refused_with_a_time) {
   submit(1, "a", make_job(1, 100));
   report(requests("e1")[0].submission(), 0, wire::RUN_EXPIRED, false);
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -282,6 +282,22 @@
     EXPECT_TRUE(result.started());
 }
 
+// Regression, hunt 017f35b6, scale-1 --seed 335269258358: during a cut the
+// owner forgot a job that it had run, and called it unrun when it was asked
+// again.
+TEST_F(pool_fixture, a_job_that_is_asked_for_again_may_have_been_started) {
+  add_upstream("u1", 500);
+  own(1);
+  run_until(now + 20);
+  wire::run_request again = request(1, "j1", 1);
+  again.set_remaining_ms(100);
+  again.set_resumed(true);
+  ask(again);
+  run_until(now + 300);
+  ASSERT_EQ(count(wire::RUN_EXPIRED), 1U);
+  EXPECT_TRUE(reported.front().second.started());
+}
+
 TEST_F(pool_fixture, an_expired_job_that_never_had_room_counts_as_unstarted) {
   add_upstream("u1", 500);
   own(1);
