Random runs of seeded deployments; a new life does not end runs ordered since

Only a list tells; the upstream is looked at at once. Ruled out: late orders (rejected by their deadline in the same trace).

The unit test fails on the version before and passes now.

--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -145,7 +145,7 @@
   void handle(const host_event& event) {
     host_effects effects = reduce(state_, event);
     for (const host_effect& effect : effects)
-      std::visit([this](const auto& kind) { execute(kind); }, effect);
+      std::visit([this](const auto& kind) { this->execute(kind); }, effect);
   }
 
   void execute(const caller_answer& effect) {
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -171,6 +171,20 @@
   upstream.clock_read_ms = now;
 }
 
+// The upstream was started again under its id. Its numbers and its clock
+// begin anew. A run may be of the former life, which is over, or may have been
+// ordered since: only the next list tells.
+void begin_new_life(leased_upstream& upstream,
+                    uint64_t incarnation,
+                    pool_output& out) {
+  out.notes.push_back(
+      {"upstream_reborn", fmt::format("upstream={} runs={}", upstream.info.id(),
+                                      upstream.runs.size())});
+  upstream.info.set_incarnation(incarnation);
+  upstream.last_seen = 0;
+  upstream.clock_offset_ms.reset();
+}
+
 // ---- Replies ----------------------------------------------------------------
 
 leased_run* find_run(leased_upstream& upstream, const run_order& order) {
@@ -199,6 +213,31 @@
   stop_run(pool, upstream, order.task, now, out);
 }
 
+void note_rejection(const run_order& order,
+                    order_outcome outcome,
+                    pool_output& out) {
+  bool rejected = outcome != order_outcome::accepted &&
+                  outcome != order_outcome::unanswered;
+  if (!rejected)
+    return;
+  std::string details =
+      fmt::format("task={} attempt={} upstream={} reason={}", order.task,
+                  order.attempt, order.upstream, to_string(outcome));
+  out.notes.push_back({"start_rejected", std::move(details)});
+}
+
+// Once, when it stops answering.
+void note_unreachable(const leased_upstream& upstream,
+                      order_outcome outcome,
+                      pool_output& out) {
+  if (!upstream.reachable || !upstream.listed)
+    return;
+  std::string details =
+      fmt::format("upstream={} runs={} reason={}", upstream.info.id(),
+                  upstream.runs.size(), to_string(outcome));
+  out.notes.push_back({"upstream_unreachable", std::move(details)});
+}
+
 void start_replied(pool& pool,
                    leased_upstream& upstream,
                    const run_order& order,
@@ -208,12 +247,7 @@
   leased_run* run = find_run(upstream, order);
   if (run == nullptr || run->state != run_state::starting)
     return;
-  if (outcome != order_outcome::accepted &&
-      outcome != order_outcome::unanswered)
-    out.notes.push_back(
-        {"start_rejected",
-         fmt::format("task={} attempt={} upstream={} reason={}", order.task,
-                     order.attempt, order.upstream, to_string(outcome))});
+  note_rejection(order, outcome, out);
   switch (outcome) {
     case order_outcome::accepted:
       run->state = run_state::running;
@@ -372,21 +406,6 @@
     end_run(pool, upstream, name, run_end::lapsed, out);
 }
 
-// The upstream was started again under its id. Its numbers and its clock
-// begin anew; what the list lacks ended with the former life.
-void begin_new_life(leased_upstream& upstream,
-                    const order_reply& reply,
-                    unix_ms now,
-                    pool_output& out) {
-  out.notes.push_back(
-      {"upstream_reborn", fmt::format("upstream={} runs={}", upstream.info.id(),
-                                      upstream.runs.size())});
-  upstream.info.set_incarnation(reply.incarnation);
-  upstream.last_seen = 0;
-  upstream.clock_offset_ms.reset();
-  read_clock(upstream, reply.clock_ms, now);
-}
-
 void hold_replied(pool& pool,
                   leased_upstream& upstream,
                   const order_reply& reply,
@@ -395,11 +414,7 @@
   unix_ms sent_ms = upstream.hold_sent_ms;
   upstream.hold_order = 0;
   if (reply.outcome != order_outcome::accepted) {
-    if (upstream.reachable && upstream.listed)
-      out.notes.push_back(
-          {"upstream_unreachable",
-           fmt::format("upstream={} runs={} reason={}", upstream.info.id(),
-                       upstream.runs.size(), to_string(reply.outcome))});
+    note_unreachable(upstream, reply.outcome, out);
     upstream.reachable = false;
     bool gone = now - upstream.heard_ms > FORGET_MS / 10;
     upstream.next_hold_ms = now + (gone ? GONE_RETRY_MS : UNREACHABLE_RETRY_MS);
@@ -407,8 +422,10 @@
   }
   upstream.reachable = true;
   bool reborn = reply.incarnation > upstream.info.incarnation();
-  if (reborn)
-    begin_new_life(upstream, reply, now, out);
+  if (reborn) {
+    begin_new_life(upstream, reply.incarnation, out);
+    read_clock(upstream, reply.clock_ms, now);
+  }
   for (const listed_end& end : reply.ended)
     take_end(pool, upstream, end, now, out);
   for (const listed_run& run : reply.running)
@@ -517,26 +534,23 @@
                     const wire::upstream& heard,
                     unix_ms now,
                     pool_output& out) {
-  auto found = pool.upstreams.find(heard.id());
-  if (found != pool.upstreams.end()) {
-    leased_upstream& known = found->second;
-    if (heard.incarnation() < known.info.incarnation())
-      return;
-    if (heard.incarnation() == known.info.incarnation()) {
-      bool leaving = known.info.state() == wire::UPSTREAM_LEAVING;
-      known.info = heard;
-      if (leaving)
-        known.info.set_state(wire::UPSTREAM_LEAVING);
-      return;
-    }
-    end_all_runs(pool, known, "new_incarnation", out);
-  }
-  leased_upstream& added = pool.upstreams[heard.id()];
-  added = {};
-  added.info = heard;
-  added.heard_ms = now;
+  auto [found, added] = pool.upstreams.try_emplace(heard.id());
+  leased_upstream& known = found->second;
+  if (heard.incarnation() < known.info.incarnation())
+    return;
+  bool reborn = !added && heard.incarnation() > known.info.incarnation();
+  bool leaves = !reborn && known.info.state() == wire::UPSTREAM_LEAVING;
+  if (reborn)
+    begin_new_life(known, heard.incarnation(), out);
+  known.info = heard;
+  if (leaves)
+    known.info.set_state(wire::UPSTREAM_LEAVING);
+  if (!added && !reborn)
+    return;
+  known.heard_ms = now;
+  known.reachable = true;
   if (pool.token != 0)
-    send_hold(pool, added, 0, now, out);
+    send_hold(pool, known, 0, now, out);
 }
 
 void own_pool(pool& pool, uint64_t token, unix_ms now, pool_output& out) {
--- /dev/null
+++ b/cyclamenwood/testing/host_model.cc
@@ -0,0 +1,391 @@
+#include "cyclamenwood/testing/host_model.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace cyclamenwood {
+namespace {
+
+constexpr int64_t STEP_MS = 5;
+// Callers without an answer send their job again after this time.
+constexpr int64_t RESEND_MS = 1'300;
+constexpr uint32_t TASK_CPU_MILLI = 1000;
+constexpr uint32_t UPSTREAM_CPU_MILLI = 2000;
+constexpr uint64_t INCARNATION_STEP = 1'000'000;
+
+result<route_table> read_one_route(std::string_view /*content*/) {
+  route_table table;
+  table.version = 1;
+  route queue;
+  queue.name = "q";
+  queue.host = "h";
+  queue.path_prefix = "/q/";
+  queue.service = "fit-desk";
+  queue.max_attempts = 3;
+  queue.target_latency_ms = 60;
+  queue.slack_factor = 1.6;
+  table.routes = {queue};
+  return table;
+}
+
+}  // namespace
+
+host_model::host_model(uint64_t seed) : random_(seed) {
+  for (const char* zone : {"kranj", "vic"}) {
+    for (int i = 1; i <= 2; ++i) {
+      std::string name = fmt::format("{}-{}", zone, i);
+      host& added = hosts_[name];
+      added.name = name;
+      added.zone = zone;
+      start_host(added);
+    }
+    for (int i = 1; i <= 3; ++i)
+      upstreams_.emplace_back(fmt::format("u-{}-{}", zone, i), zone,
+                              UPSTREAM_CPU_MILLI, between(0, 1'000'000),
+                              between(30, 500));
+  }
+}
+
+bool host_model::chance(double share) {
+  return std::uniform_real_distribution<>(0, 1)(random_) < share;
+}
+
+int64_t host_model::between(int64_t low, int64_t high) {
+  return std::uniform_int_distribution<int64_t>(low, high)(random_);
+}
+
+void host_model::fail(const std::string& what) {
+  if (!broken_)
+    broken_ = fmt::format("at {} ms: {}", now_ - 1'000'000, what);
+}
+
+size_t host_model::open_jobs() const {
+  return std::count_if(jobs_.begin(), jobs_.end(),
+                       [](const caller_job& job) { return !job.over; });
+}
+
+fake_upstream* host_model::find_upstream(const std::string& id) {
+  for (fake_upstream& upstream : upstreams_) {
+    if (upstream.info().id() == id)
+      return &upstream;
+  }
+  return nullptr;
+}
+
+void host_model::start_host(host& host) {
+  host_settings settings;
+  settings.name = host.name;
+  settings.rpc = host.name;
+  settings.zone = host.zone;
+  settings.seeds = {"control"};
+  next_incarnation_ += INCARNATION_STEP;
+  host.state = make_host_entry(settings, next_incarnation_, &read_one_route);
+  host.inbox.clear();
+}
+
+void host_model::crash(host& host) {
+  ++counts_.crashes;
+  host.state.reset();
+  host.back_at_ms = now_ + between(50, 2500);
+  for (caller_job& job : jobs_) {
+    if (job.at != host.name || job.over)
+      continue;
+    job.at.clear();
+    job.only_refused = false;
+    job.resend_ms = now_ + RESEND_MS;
+  }
+}
+
+void host_model::make_faults() {
+  for (auto& [name, host] : hosts_) {
+    if (host.state && chance(0.0008))
+      crash(host);
+    if (host.state && host.frozen_until_ms < now_ && chance(0.0008)) {
+      ++counts_.freezes;
+      host.frozen_until_ms = now_ + between(50, 3000);
+    }
+  }
+  for (fake_upstream& upstream : upstreams_) {
+    const std::string& id = upstream.info().id();
+    if (cut_upstreams_.contains(id)) {
+      if (chance(0.004))
+        cut_upstreams_.erase(id);
+    } else if (chance(0.0008)) {
+      cut_upstreams_.insert(id);
+    }
+    if (chance(0.0003))
+      upstream.restart(now_);
+  }
+}
+
+void host_model::submit(caller_job& job) {
+  std::vector<std::string> up;
+  for (const auto& [name, host] : hosts_) {
+    if (host.state && host.zone == job.zone)
+      up.push_back(name);
+  }
+  job.resend_ms = now_ + RESEND_MS;
+  if (up.empty())
+    return;
+  job.at = up[between(0, static_cast<int64_t>(up.size()) - 1)];
+  job.exchange = next_exchange_++;
+  host_call call;
+  call.now = now_;
+  call.call.exchange = job.exchange;
+  call.call.host = "h";
+  call.call.path = "/q/" + job.id;
+  call.call.wait_ms = std::max<int64_t>(job.deadline_ms - now_, 1);
+  job_spec spec;
+  spec.spec = "s";
+  spec.best_effort = true;
+  step_spec step;
+  step.count = job.tasks;
+  step.need.set_cpu_milli(TASK_CPU_MILLI);
+  step.estimate_ms = between(20, 600);
+  spec.steps = {step};
+  call.call.job = std::move(spec);
+  hosts_[job.at].inbox.emplace_back(call);
+}
+
+void host_model::make_calls() {
+  bool more = jobs_.size() < 400 && chance(0.06) && faulty_;
+  if (more) {
+    caller_job& added = jobs_.emplace_back();
+    added.id = fmt::format("{:016x}", jobs_.size());
+    added.zone = chance(0.5) ? "kranj" : "vic";
+    added.tasks = static_cast<uint32_t>(between(1, 5));
+    added.deadline_ms = now_ + between(1500, 6000);
+    submit(added);
+  }
+  for (caller_job& job : jobs_) {
+    if (job.over)
+      continue;
+    if (now_ >= job.deadline_ms) {
+      job.over = true;
+      auto at = hosts_.find(job.at);
+      if (at != hosts_.end() && at->second.state)
+        at->second.inbox.emplace_back(host_caller_left{now_, job.exchange});
+      continue;
+    }
+    if (job.at.empty() && now_ >= job.resend_ms) {
+      ++counts_.resends;
+      submit(job);
+    }
+  }
+}
+
+void host_model::execute(host& /*from*/, const caller_answer& answer) {
+  for (caller_job& job : jobs_) {
+    if (job.exchange != answer.exchange || job.over)
+      continue;
+    job.at.clear();
+    if (answer.outcome == caller_outcome::completed) {
+      ++counts_.completed;
+      job.over = true;
+    } else if (answer.outcome == caller_outcome::refused) {
+      ++counts_.refused;
+      job.over = true;
+      job.refused = true;
+      if (job.only_refused && job.ran)
+        fail(fmt::format("job {} was refused and had run", job.id));
+    } else {
+      job.only_refused = false;
+      job.resend_ms = now_ + RESEND_MS;
+    }
+    return;
+  }
+}
+
+void host_model::execute(host& from, const run_order& order) {
+  delayed_order delayed;
+  delayed.from = from.name;
+  delayed.incarnation = from.state->incarnation;
+  delayed.order = order;
+  delayed.sent_ms = now_;
+  delayed.at_ms = now_ + between(0, 2) * STEP_MS;
+  if (faulty_ && order.kind != order_kind::hold && chance(0.04)) {
+    ++counts_.late_orders;
+    delayed.silent = true;
+    delayed.at_ms = now_ + between(100, 4000);
+    // No answer comes: the sender gives up in time.
+    delayed_order given_up = delayed;
+    given_up.order.task.clear();
+    given_up.at_ms = order.give_up_ms;
+    orders_.push_back(given_up);
+  }
+  orders_.push_back(std::move(delayed));
+}
+
+void host_model::execute(host& from, const host_send& sent) {
+  if (sent.envelope.has_entry_hello()) {
+    known_entry_host& known = heard_[from.name];
+    if (known.incarnation != sent.envelope.incarnation())
+      known.first_heard_ms = now_;
+    known.incarnation = sent.envelope.incarnation();
+    known.zone = from.zone;
+    known.heard_ms = now_;
+    return;
+  }
+  if (faulty_ && chance(0.01))
+    return;
+  messages_.push_back(
+      {now_ + between(0, 2) * STEP_MS, sent.host, sent.envelope});
+}
+
+void host_model::execute(host& /*from*/, const host_note& note) {
+  if (note.event == "ownership_taken")
+    ++counts_.takeovers;
+}
+
+void host_model::execute(host& from, const host_effect& effect) {
+  std::visit([&](const auto& kind) { this->execute(from, kind); }, effect);
+}
+
+void host_model::feed(host& host, const host_event& event) {
+  for (const host_effect& effect : reduce(*host.state, event))
+    execute(host, effect);
+}
+
+// Times of events are when they are read, as in the daemon.
+void host_model::run_host(host& host) {
+  if (!host.state && now_ >= host.back_at_ms)
+    start_host(host);
+  if (!host.state || now_ < host.frozen_until_ms)
+    return;
+  std::deque<host_event> inbox = std::move(host.inbox);
+  host.inbox.clear();
+  for (host_event& event : inbox) {
+    std::visit([this](auto& kind) { kind.now = now_; }, event);
+    feed(host, event);
+  }
+  if (now_ % (4 * STEP_MS) == 0)
+    feed(host, host_tick{now_});
+}
+
+void host_model::deliver_order(const delayed_order& delayed) {
+  auto from = hosts_.find(delayed.from);
+  bool sender_lives = from != hosts_.end() && from->second.state &&
+                      from->second.state->incarnation == delayed.incarnation;
+  bool gives_up = delayed.silent && delayed.order.task.empty() &&
+                  delayed.order.kind != order_kind::hold;
+  if (gives_up) {
+    if (sender_lives)
+      from->second.inbox.emplace_back(
+          host_order_replied{now_, delayed.order.id, {}});
+    return;
+  }
+  fake_upstream* upstream = find_upstream(delayed.order.upstream);
+  bool cut = cut_upstreams_.contains(delayed.order.upstream);
+  if (cut && !delayed.silent) {
+    if (now_ < delayed.order.give_up_ms) {
+      orders_.push_back(delayed);
+      orders_.back().at_ms = delayed.order.give_up_ms;
+    } else if (sender_lives) {
+      from->second.inbox.emplace_back(
+          host_order_replied{now_, delayed.order.id, {}});
+    }
+    return;
+  }
+  upstream->advance(now_);
+  order_reply reply = upstream->carry_out(delayed.order, now_);
+  bool waits = delayed.order.kind == order_kind::hold &&
+               reply.outcome == order_outcome::accepted &&
+               reply.ended.empty() &&
+               now_ + STEP_MS < delayed.sent_ms + delayed.order.wait_ms;
+  if (waits) {
+    orders_.push_back(delayed);
+    orders_.back().at_ms = now_ + STEP_MS;
+    return;
+  }
+  if (sender_lives && !delayed.silent)
+    from->second.inbox.emplace_back(
+        host_order_replied{now_, delayed.order.id, reply});
+}
+
+void host_model::deliver() {
+  std::vector<delayed_message> messages = std::move(messages_);
+  messages_.clear();
+  for (delayed_message& message : messages) {
+    auto to = hosts_.find(message.to);
+    if (message.at_ms > now_)
+      messages_.push_back(std::move(message));
+    else if (to != hosts_.end() && to->second.state)
+      to->second.inbox.emplace_back(host_received{now_, message.envelope});
+  }
+  std::vector<delayed_order> orders = std::move(orders_);
+  orders_.clear();
+  for (delayed_order& order : orders) {
+    if (order.at_ms > now_)
+      orders_.push_back(std::move(order));
+    else
+      deliver_order(order);
+  }
+}
+
+void host_model::send_news(const std::string& to) {
+  wire::envelope envelope;
+  envelope.set_from("control");
+  wire::control_news& news = *envelope.mutable_control_news();
+  news.mutable_latest()->set_version(1);
+  *news.mutable_grants() = control_.table.grants();
+  for (const fake_upstream& upstream : upstreams_) {
+    if (upstream.info().zone() == hosts_[to].zone)
+      *news.add_upstreams() = upstream.info();
+  }
+  messages_.push_back({now_ + between(0, 4) * STEP_MS, to, envelope});
+}
+
+void host_model::grant_owners() {
+  if (now_ < grants_at_ms_)
+    return;
+  grants_at_ms_ = now_ + 100;
+  for (const wire::owner_grant& grant :
+       choose_owners(control_, heard_, 0, now_))
+    apply_grant(control_, grant);
+  for (const auto& [name, host] : hosts_)
+    send_news(name);
+}
+
+void host_model::check() {
+  std::map<std::string, int> running;
+  for (fake_upstream& upstream : upstreams_) {
+    upstream.advance(now_);
+    if (upstream.used_cpu_milli() > UPSTREAM_CPU_MILLI)
+      fail(fmt::format("{} is over its room", upstream.info().id()));
+    for (const auto& [task, run] : upstream.runs()) {
+      if (++running[task] > 1)
+        fail(fmt::format("task {} runs twice", task));
+    }
+  }
+  for (caller_job& job : jobs_) {
+    auto first = running.lower_bound(job.id);
+    bool runs = first != running.end() && first->first.starts_with(job.id);
+    job.ran = job.ran || runs;
+    if (runs && job.refused && job.only_refused)
+      fail(fmt::format("job {} runs after its refusal", job.id));
+  }
+}
+
+void host_model::step() {
+  now_ += STEP_MS;
+  if (faulty_)
+    make_faults();
+  make_calls();
+  deliver();
+  for (auto& [name, host] : hosts_)
+    run_host(host);
+  grant_owners();
+  check();
+}
+
+void host_model::run(int64_t faulty_ms, int64_t calm_ms) {
+  for (unix_ms end = now_ + faulty_ms; now_ < end && !broken_;)
+    step();
+  faulty_ = false;
+  cut_upstreams_.clear();
+  for (unix_ms end = now_ + calm_ms; now_ < end && !broken_;)
+    step();
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -0,0 +1,45 @@
+// Random runs of seeded deployments: a task never runs twice at a time, room
+// is never exceeded, a refusal that says "not run" is true, and every caller
+// gets an answer or its deadline passes.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "cyclamenwood/testing/host_model.h"
+
+namespace cyclamenwood {
+namespace {
+
+RC_GTEST_PROP(host_model, keeps_its_promises_under_faults, (uint64_t seed)) {
+  host_model model(seed);
+  model.run(8'000, 8'000);
+  if (model.broken())
+    RC_FAIL(*model.broken());
+  RC_ASSERT(model.open_jobs() == 0U);
+}
+
+// The random runs meet what they are for.
+TEST(host_model, reaches_every_kind_of_event) {
+  host_model_counts sum;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    host_model model(seed);
+    model.run(8'000, 8'000);
+    EXPECT_FALSE(model.broken()) << seed << ": " << *model.broken();
+    sum.completed += model.counts().completed;
+    sum.refused += model.counts().refused;
+    sum.resends += model.counts().resends;
+    sum.takeovers += model.counts().takeovers;
+    sum.late_orders += model.counts().late_orders;
+    sum.crashes += model.counts().crashes;
+    sum.freezes += model.counts().freezes;
+  }
+  EXPECT_GT(sum.completed, 500U);
+  EXPECT_GT(sum.refused, 0U);
+  EXPECT_GT(sum.resends, 20U);
+  EXPECT_GT(sum.takeovers, 60U);
+  EXPECT_GT(sum.late_orders, 50U);
+  EXPECT_GT(sum.crashes, 50U);
+  EXPECT_GT(sum.freezes, 50U);
+}
+
+}  // namespace
+}  // namespace cyclamenwood
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -54,7 +54,7 @@
 
   void tell_room(const std::string& zone,
                  uint64_t token,
-                 std::vector<uint32_t> free) {
+                 const std::vector<uint32_t>& free) {
     wire::pool_state told;
     told.set_zone(zone);
     told.set_token(token);
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -401,5 +401,41 @@
   EXPECT_EQ(count(wire::RUN_DONE), 1U);
 }
 
+// Regression, random run 63: a task ordered between the restart and its
+// announcement runs on the new life and must not be started elsewhere.
+TEST_F(pool_fixture, the_announcement_of_a_new_life_does_not_end_its_runs) {
+  fake_upstream& first = add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  first.restart(now);
+  ask(request(1, "j1", 1));
+  run_until(now + 20);
+  ASSERT_EQ(first.runs().size(), 1U);
+  fake_upstream& second = add_upstream("u2", 1000);
+  run_until(now + 20);
+  learn_upstream(state, first.info(), now, out);
+  flush();
+  run_until(now + 400);
+  EXPECT_EQ(first.starts(), 1U);
+  EXPECT_EQ(second.starts(), 0U);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+}
+
+TEST_F(pool_fixture, a_step_goes_only_where_its_label_is) {
+  add_upstream("u1");
+  upstreams.emplace_back("u2", "kranj", 2000, 0, RUN_MS);
+  wire::upstream labelled = upstreams.back().info();
+  labelled.add_labels("b");
+  learn_upstream(state, labelled, now, out);
+  own(1);
+  run_until(now + 20);
+  wire::run_request picky = request(1, "j1", 3);
+  picky.set_label("b");
+  ask(picky);
+  run_until(now + 500);
+  EXPECT_EQ(upstreams[0].starts(), 0U);
+  EXPECT_EQ(upstreams[1].starts(), 3U);
+}
+
 }  // namespace
 }  // namespace cyclamenwood
