Owners obey only recent requests; a new life is told stops again

Each request and hello now echoes the owner's clock as last told; what echoes a time more than 600 ms ago is not obeyed, and the queue is served only for peers that are not silent. A new owner is greeted first and asked when it has told its clock. Ruled out: detection of standing still by the gap between ticks (the message may come before the tick, and hellos of before look fresh).

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -62,6 +62,18 @@
   out.effects.push_back(host_note{std::move(event), std::move(details)});
 }
 
+void say_pool_hello(host_entry& state, unix_ms now, host_outbox& out) {
+  if (now < state.pool_hello_ms)
+    return;
+  state.pool_hello_ms = now + POOL_HELLO_INTERVAL_MS;
+  for (const auto& [zone, grant] : state.callers.grants) {
+    wire::envelope envelope;
+    envelope.mutable_pool_hello()->set_zone(zone);
+    envelope.mutable_pool_hello()->set_echo_ms(echo_for(state.callers, zone));
+    send(state, grant.host(), std::move(envelope), out);
+  }
+}
+
 // ---- News from the replicas -------------------------------------------------
 
 void take_config(host_entry& state,
@@ -122,11 +134,12 @@
   for (const wire::upstream& upstream : news.upstreams())
     learn_upstream(state.upstreams, upstream, now, learned);
   absorb(state, std::move(learned), out);
-  intake_output granted;
-  learn_grants(state.callers, news, now, granted);
-  // The pool first: the requests that follow are for it, if it is its own.
+  bool owner_changed = learn_grants(state.callers, news);
   take_ownership(state, now, out);
-  absorb(state, std::move(granted), out);
+  if (owner_changed) {
+    state.pool_hello_ms = now;
+    say_pool_hello(state, now, out);
+  }
 }
 
 // ---- Messages ---------------------------------------------------------------
@@ -138,8 +151,8 @@
   if (state.upstreams.token == 0)
     return;
   pool_output done;
-  hear_peer(state.upstreams, envelope.from(), envelope.incarnation(), now,
-            done);
+  hear_peer(state.upstreams, envelope.from(), envelope.incarnation(),
+            envelope.pool_hello().echo_ms(), now, done);
   absorb(state, std::move(done), out);
   wire::envelope reply;
   *reply.mutable_pool_state() = describe_pool(state.upstreams, now);
@@ -157,10 +170,10 @@
       take_news(state, now, envelope, out);
       break;
     case wire::envelope::kRunRequest:
-      hear_peer(state.upstreams, envelope.from(), envelope.incarnation(), now,
-                pooled);
-      request_runs(state.upstreams, envelope.from(), envelope.run_request(),
-                   now, pooled);
+      if (hear_peer(state.upstreams, envelope.from(), envelope.incarnation(),
+                    envelope.run_request().echo_ms(), now, pooled))
+        request_runs(state.upstreams, envelope.from(), envelope.run_request(),
+                     now, pooled);
       break;
     case wire::envelope::kRunRelease:
       release_runs(state.upstreams, envelope.run_release().submission(), now,
@@ -174,7 +187,7 @@
       answer_pool_hello(state, now, envelope, out);
       break;
     case wire::envelope::kPoolState:
-      hear_pool(state.callers, envelope.pool_state(), now);
+      hear_pool(state.callers, envelope.pool_state(), now, taken);
       break;
     default:
       break;
@@ -200,17 +213,6 @@
   }
 }
 
-void say_pool_hello(host_entry& state, unix_ms now, host_outbox& out) {
-  if (now < state.pool_hello_ms)
-    return;
-  state.pool_hello_ms = now + POOL_HELLO_INTERVAL_MS;
-  for (const auto& [zone, grant] : state.callers.grants) {
-    wire::envelope envelope;
-    envelope.mutable_pool_hello()->set_zone(zone);
-    send(state, grant.host(), std::move(envelope), out);
-  }
-}
-
 // ---- Events -----------------------------------------------------------------
 
 void on_event(host_entry& state, const host_tick& event, host_outbox& out) {
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -212,10 +212,24 @@
   if (request.tasks().empty())
     return;
   request.set_resumed(job.zones.contains(zone));
+  request.set_echo_ms(echo_for(intake, zone));
   job.zones[zone] = grant->second.token();
   out.messages.emplace_back(grant->second.host(), std::move(envelope));
 }
 
+// Asks a zone's new owner for what the former one has not reported.
+void ask_new_owner(intake& intake,
+                   const std::string& zone,
+                   unix_ms now,
+                   intake_output& out) {
+  for (auto& [submission, job] : intake.jobs) {
+    if (!job.zones.contains(zone))
+      continue;
+    for (uint32_t index = 0; index < job.steps.size(); ++index)
+      send_to_zone(intake, submission, index, zone, now, out);
+  }
+}
+
 // Sends the steps that are due and were not sent, or all that are due.
 void send_steps(intake& intake,
                 uint64_t submission,
@@ -369,31 +383,41 @@
   }
 }
 
-void learn_grants(intake& intake,
-                  const wire::control_news& news,
-                  unix_ms now,
-                  intake_output& out) {
+bool learn_grants(intake& intake, const wire::control_news& news) {
+  bool changed = false;
   for (const wire::owner_grant& grant : news.grants()) {
     wire::owner_grant& known = intake.grants[grant.zone()];
     if (grant.token() <= known.token())
       continue;
     known = grant;
-    for (auto& [submission, job] : intake.jobs) {
-      if (!job.zones.contains(grant.zone()))
-        continue;
-      // The former owner may have started some of it.
-      job.started = true;
-      for (uint32_t index = 0; index < job.steps.size(); ++index)
-        send_to_zone(intake, submission, index, grant.zone(), now, out);
-    }
+    changed = true;
+    // The former owner may have started some of it.
+    for (auto& [submission, job] : intake.jobs)
+      job.started = job.started || job.zones.contains(grant.zone());
   }
+  return changed;
 }
 
-void hear_pool(intake& intake, const wire::pool_state& state, unix_ms now) {
+void hear_pool(intake& intake,
+               const wire::pool_state& state,
+               unix_ms now,
+               intake_output& out) {
   known_pool& pool = intake.pools[state.zone()];
-  pool = {state.token(), now, {}};
+  bool is_new_owner = pool.token != state.token();
+  pool = {state.token(), now, state.clock_ms(), {}};
   for (const wire::service_room& room : state.services())
     pool.rooms[room.service()] = read_room(room);
+  if (is_new_owner)
+    ask_new_owner(intake, state.zone(), now, out);
+}
+
+int64_t echo_for(const intake& intake, const std::string& zone) {
+  auto pool = intake.pools.find(zone);
+  auto grant = intake.grants.find(zone);
+  bool same_owner = pool != intake.pools.end() &&
+                    grant != intake.grants.end() &&
+                    pool->second.token == grant->second.token();
+  return same_owner ? pool->second.clock_ms : 0;
 }
 
 void take_results(intake& intake,
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -123,6 +123,8 @@
 struct known_pool {
   uint64_t token = 0;
   unix_ms heard_ms = 0;
+  // The owner's clock when it told this.
+  int64_t clock_ms = 0;
   // By service.
   std::map<std::string, zone_room> rooms;
 };
@@ -159,11 +161,15 @@
 // The caller closed its connection.
 void caller_left(intake& intake, uint64_t exchange, intake_output& out);
 
-void learn_grants(intake& intake,
-                  const wire::control_news& news,
-                  unix_ms now,
-                  intake_output& out);
-void hear_pool(intake& intake, const wire::pool_state& state, unix_ms now);
+// Returns whether an owner changed: it is to be greeted at once.
+bool learn_grants(intake& intake, const wire::control_news& news);
+void hear_pool(intake& intake,
+               const wire::pool_state& state,
+               unix_ms now,
+               intake_output& out);
+
+// What to echo to the owner of a zone: its clock as last told; 0: nothing yet.
+int64_t echo_for(const intake& intake, const std::string& zone);
 void take_results(intake& intake,
                   const std::string& from,
                   const wire::run_results& results,
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -122,6 +122,8 @@
 using pool_job_id = std::pair<uint64_t, uint32_t>;
 
 struct pool_peer {
+  // The newest time of this process that the peer is known to have seen. A
+  // message that waited while this process stood still proves nothing newer.
   unix_ms heard_ms = 0;
   uint64_t incarnation = 0;
 };
@@ -188,10 +190,13 @@
                   uint64_t submission,
                   unix_ms now,
                   pool_output& out);
-// An entry host is alive.
-void hear_peer(pool& pool,
+// An entry host was alive when this process's clock showed `echo_ms`. Returns
+// whether that is recent; what comes with an older echo must not be obeyed,
+// since its sender may be gone and its callers elsewhere.
+bool hear_peer(pool& pool,
                const std::string& host,
                uint64_t incarnation,
+               unix_ms echo_ms,
                unix_ms now,
                pool_output& out);
 
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -202,15 +202,22 @@
   }
 }
 
-void hear_peer(pool& pool,
+bool hear_peer(pool& pool,
                const std::string& host,
                uint64_t incarnation,
+               unix_ms echo_ms,
                unix_ms now,
                pool_output& out) {
+  bool is_recent = echo_ms <= now && now - echo_ms <= PEER_SILENCE_MS;
+  if (!is_recent)
+    return false;
   auto [found, added] = pool.peers.try_emplace(host);
-  if (!added && found->second.incarnation != incarnation)
+  pool_peer& peer = found->second;
+  if (!added && peer.incarnation != incarnation)
     drop_peer_jobs(pool, host, now, out);
-  found->second = {now, incarnation};
+  peer.incarnation = incarnation;
+  peer.heard_ms = std::max(peer.heard_ms, echo_ms);
+  return true;
 }
 
 void expire_peers(pool& pool, unix_ms now, pool_output& out) {
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -152,6 +152,7 @@
 void place_tasks(pool& pool, unix_ms now, pool_output& out) {
   if (pool.token == 0)
     return;
+  expire_peers(pool, now, out);
   std::vector<queue_key> waiting(pool.queue.begin(), pool.queue.end());
   for (const queue_key& key : waiting) {
     pool_job& job = pool.jobs.at(std::get<pool_job_id>(key));
@@ -170,6 +171,7 @@
   wire::pool_state described;
   described.set_zone(pool.zone);
   described.set_token(pool.token);
+  described.set_clock_ms(now);
   std::map<std::string, wire::service_room> rooms;
   for (const auto& [id, upstream] : pool.upstreams) {
     if (!may_take_work(upstream, now))
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -173,9 +173,11 @@
 
 // The upstream was started again under its id. Its numbers and its clock
 // begin anew. A run may be of the former life, which is over, or may have been
-// ordered since: only the next list tells.
+// ordered since: only the next list tells. A start that was not answered may
+// yet be carried out by the new life, which knows of no stop: it is told again.
 void begin_new_life(leased_upstream& upstream,
                     uint64_t incarnation,
+                    unix_ms now,
                     pool_output& out) {
   out.notes.push_back(
       {"upstream_reborn", fmt::format("upstream={} runs={}", upstream.info.id(),
@@ -183,6 +185,13 @@
   upstream.info.set_incarnation(incarnation);
   upstream.last_seen = 0;
   upstream.clock_offset_ms.reset();
+  for (auto& [name, run] : upstream.runs) {
+    if (run.unanswered_starts == 0)
+      continue;
+    run.state = run_state::stopping;
+    run.listed_from_ms = INT64_MAX;
+    run.resend_ms = now;
+  }
 }
 
 // ---- Replies ----------------------------------------------------------------
@@ -289,7 +298,8 @@
   leased_run* run = find_run(upstream, order);
   if (run == nullptr || run->state != run_state::stopping)
     return;
-  if (outcome == order_outcome::unanswered)
+  bool former_life = order.incarnation != upstream.info.incarnation();
+  if (outcome == order_outcome::unanswered || former_life)
     run->resend_ms = now;
   else
     run->listed_from_ms = std::min(run->listed_from_ms, now);
@@ -423,7 +433,7 @@
   upstream.reachable = true;
   bool reborn = reply.incarnation > upstream.info.incarnation();
   if (reborn) {
-    begin_new_life(upstream, reply.incarnation, out);
+    begin_new_life(upstream, reply.incarnation, now, out);
     read_clock(upstream, reply.clock_ms, now);
   }
   for (const listed_end& end : reply.ended)
@@ -541,7 +551,7 @@
   bool reborn = !added && heard.incarnation() > known.info.incarnation();
   bool leaves = !reborn && known.info.state() == wire::UPSTREAM_LEAVING;
   if (reborn)
-    begin_new_life(known, heard.incarnation(), out);
+    begin_new_life(known, heard.incarnation(), now, out);
   known.info = heard;
   if (leaves)
     known.info.set_state(wire::UPSTREAM_LEAVING);
@@ -585,7 +595,6 @@
 void tick_pool(pool& pool, unix_ms now, pool_output& out) {
   if (pool.token == 0)
     return;
-  expire_peers(pool, now, out);
   sort_out_late(pool, now);
   std::vector<std::string> forgotten;
   for (auto& [id, upstream] : pool.upstreams) {
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -49,7 +49,7 @@
     added.set_zone(zone);
     added.set_host(host);
     added.set_token(token);
-    learn_grants(state, news, now, out);
+    learn_grants(state, news);
   }
 
   void tell_room(const std::string& zone,
@@ -58,12 +58,13 @@
     wire::pool_state told;
     told.set_zone(zone);
     told.set_token(token);
+    told.set_clock_ms(now - 7);
     wire::service_room& room = *told.add_services();
     room.set_service("fit-desk");
     room.set_total_cpu_milli(4000);
     for (uint32_t cpu : free)
       room.add_free_cpu_milli(cpu);
-    hear_pool(state, told, now);
+    hear_pool(state, told, now, out);
   }
 
   void submit(uint64_t exchange,
@@ -135,6 +136,8 @@
   report(submission, 0, wire::RUN_DONE);
   out = {};
   grant("kranj", "e3", 7);
+  EXPECT_TRUE(requests("e3").empty());
+  tell_room("kranj", 7, {4000});
   ASSERT_EQ(requests("e3").size(), 1U);
   EXPECT_TRUE(requests("e3")[0].resumed());
   ASSERT_EQ(requests("e3")[0].tasks_size(), 1);
@@ -147,6 +150,7 @@
 TEST_F(intake_fixture, a_request_that_is_sent_again_says_so) {
   submit(1, "a", make_job(1, 100));
   EXPECT_FALSE(requests("e1").at(0).resumed());
+  EXPECT_EQ(requests("e1").at(0).echo_ms(), now - 7);
   now += 500;
   tick_intake(state, now, out);
   ASSERT_EQ(requests("e1").size(), 2U);
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -51,7 +51,7 @@
   }
 
   void ask(const wire::run_request& wanted, const std::string& from = "e1") {
-    hear_peer(state, from, 1, now, out);
+    hear_peer(state, from, 1, now, now, out);
     request_runs(state, from, wanted, now, out);
     flush();
   }
@@ -82,7 +82,7 @@
         answer(order_sent, order);
       if (keep_peers) {
         for (const auto& [host, peer] : std::map(state.peers))
-          hear_peer(state, host, peer.incarnation, now, out);
+          hear_peer(state, host, peer.incarnation, now, now, out);
       }
       tick_pool(state, now, out);
       flush();
@@ -267,6 +267,32 @@
   EXPECT_TRUE(upstream.runs().empty());
 }
 
+// Regression, random run 2710: a request waited while the owner stood still;
+// its sender was gone by then and the job under way elsewhere.
+TEST_F(pool_fixture, a_request_with_an_old_echo_is_not_obeyed) {
+  EXPECT_FALSE(hear_peer(state, "e1", 1, now - PEER_SILENCE_MS - 1, now, out));
+  EXPECT_FALSE(hear_peer(state, "e1", 1, 0, now, out));
+  EXPECT_TRUE(hear_peer(state, "e1", 1, now - PEER_SILENCE_MS, now, out));
+}
+
+// The queue must not be served for an entry host that is silent, even when
+// the first thing after standing still is not a tick.
+TEST_F(pool_fixture, after_standing_still_nothing_is_started_for_the_silent) {
+  fake_upstream& upstream = add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 2));
+  run_until(now + 20);
+  ASSERT_EQ(upstream.starts(), 1U);
+  now += 2000;
+  wire::upstream more = upstream.info();
+  more.set_id("u2");
+  learn_upstream(state, more, now, out);
+  state.upstreams.at("u2").listed = true;
+  flush();
+  EXPECT_TRUE(state.jobs.empty());
+}
+
 // Regression, score 85378f11: a job was called unrun though a task of it had
 // been ordered.
 TEST_F(pool_fixture, an_expired_job_with_an_ordered_task_counts_as_started) {
@@ -421,6 +447,26 @@
   EXPECT_EQ(count(wire::RUN_DONE), 1U);
 }
 
+// Regression, random run 575: a start without an answer is carried out late,
+// by a later life of its upstream that never heard of the stop.
+TEST_F(pool_fixture, a_new_life_is_told_the_stop_of_an_unanswered_start) {
+  fake_upstream& first = add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  drop_starts = 3;
+  ask(request(1, "j1", 1));
+  run_until(now + 300);
+  run_order late;
+  late.kind = order_kind::start;
+  late.token = 1;
+  late.task = "j1.0.0.0";
+  late.attempt = 1;
+  late.lease_deadline_ms = now + 600'000;
+  first.restart(now);
+  run_until(now + 600);
+  EXPECT_EQ(first.carry_out(late, now).outcome, order_outcome::stale_attempt);
+}
+
 TEST_F(pool_fixture, a_step_goes_only_where_its_label_is) {
   add_upstream("u1");
   upstreams.emplace_back("u2", "kranj", 2000, 0, RUN_MS);
