Removes state that nothing read

Cause: reading the change again. A run's wanted_elsewhere and a replica's last hearing were written and never read: whether a stopped run's task goes back to the queue follows from its job being known. Behaviour is the same.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -127,7 +127,6 @@
   known_replica& from = state.replicas[envelope.from()];
   from.directory = news.directory();
   from.have_change = news.change();
-  from.heard_ms = now;
   if (news.has_latest())
     take_config(state, news.latest(), out);
   pool_output learned;
--- a/cyclamenwood/host_entry.h
+++ b/cyclamenwood/host_entry.h
@@ -96,7 +96,6 @@
 struct known_replica {
   uint64_t directory = 0;
   uint64_t have_change = 0;
-  unix_ms heard_ms = 0;
 };
 
 using route_reader = std::function<result<route_table>(std::string_view)>;
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -67,8 +67,6 @@
   unix_ms found_ms = 0;
   // When it began; 0: not known.
   unix_ms began_ms = 0;
-  // The task goes back to the queue when this run is settled.
-  bool wanted_elsewhere = false;
 };
 
 struct leased_upstream {
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -217,7 +217,6 @@
   out.notes.push_back({"start_unanswered",
                        fmt::format("task={} attempt={} upstream={}", order.task,
                                    order.attempt, order.upstream)});
-  run.wanted_elsewhere = true;
   upstream.rest_until_ms = now + REST_MS;
   stop_run(pool, upstream, order.task, now, out);
 }
