--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr int64_t HOUSEKEEPING_INTERVAL_MS = 250;
+// A request takes a few runs; more in a row would keep the loop from others.
+constexpr int MAX_RUNS_A_TURN = 16;
 // Never seen by anyone: the connection is closed already.
 constexpr int STATUS_CALLER_GONE = 503;
 
@@ -77,6 +79,14 @@
         handle(std::move(handle)),
         gone(std::move(gone)) {}
 
+  // libmicrohttpd leaves work for its next run, such as a request that arrived
+  // on a connection just resumed; its descriptor does not become readable for
+  // it.
+  bool has_work_left() {
+    MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+    return MHD_get_timeout(daemon, &timeout_ms) == MHD_YES && timeout_ms == 0;
+  }
+
   // Answers given from inside a run resume connections, which need another
   // run.
   void run() {
@@ -85,11 +95,15 @@
       return;
     }
     running = true;
+    int runs = 0;
     do {
       run_again = false;
       MHD_run(daemon);
-    } while (run_again);
+      ++runs;
+    } while (runs < MAX_RUNS_A_TURN && (run_again || has_work_left()));
     running = false;
+    if (runs == MAX_RUNS_A_TURN)
+      ev_feed_event(loop.raw(), &readiness, EV_READ);
   }
 
   MHD_Result queue(exchange_state& exchange) {
