Placement looks only after changes; requests go again only when lost

After each event the whole queue was tried against every upstream, whose room was summed over its runs; each open job was sent again every 400 ms, lost or not, which is most of the messages when jobs wait.

Change: the room in use is kept as a sum (the random runs check it against the plain sum); jobs larger than the largest free room are passed over; placement runs only when something changed that may let a task start. Entry host and owner count their messages to each other and compare the counts in the hellos, so that requests are repeated only when some were lost (after 2 s in any case).

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -68,8 +68,7 @@
   state.pool_hello_ms = now + POOL_HELLO_INTERVAL_MS;
   for (const auto& [zone, grant] : state.callers.grants) {
     wire::envelope envelope;
-    envelope.mutable_pool_hello()->set_zone(zone);
-    envelope.mutable_pool_hello()->set_echo_ms(echo_for(state.callers, zone));
+    *envelope.mutable_pool_hello() = make_pool_hello(state.callers, zone);
     send(state, grant.host(), std::move(envelope), out);
   }
 }
@@ -154,7 +153,8 @@
             envelope.pool_hello().echo_ms(), now, done);
   absorb(state, std::move(done), out);
   wire::envelope reply;
-  *reply.mutable_pool_state() = describe_pool(state.upstreams, now);
+  *reply.mutable_pool_state() = answer_hello(state.upstreams, envelope.from(),
+                                             envelope.pool_hello(), now);
   send(state, envelope.from(), std::move(reply), out);
 }
 
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -1,6 +1,7 @@
 // A job goes through: looked up, sent step by step, results counted, answered.
 //
-// What may have been lost on the way is sent again: owners know requests that
+// Both sides count their messages, so that the exchange of hellos shows when
+// some were lost; what is missing is then sent again. Owners know requests that
 // they have and only repeat results. When a zone's upstreams get another
 // owner, the missing tasks are asked of it at once; it adopts those that run.
 #include "cyclamenwood/intake.h"
@@ -17,8 +18,12 @@
 // A pool that was silent for this long gets no new job: three replies to
 // hellos are missing.
 constexpr int64_t POOL_SILENCE_MS = 600;
-// Missing results are asked for again after this time.
-constexpr int64_t RESEND_MS = 400;
+// Missing results are asked for again after this time, whatever the counts of
+// messages say.
+constexpr int64_t RESEND_MS = 2'000;
+// Tasks that no zone could take so far look for one again: the interval of the
+// news that tell of room.
+constexpr int64_t UNASSIGNED_RETRY_MS = 100;
 // Shortest time after which a refused caller may find room.
 constexpr int64_t RETRY_AFTER_MS = 1'000;
 
@@ -106,12 +111,18 @@
 
 // ---- Choice of zones --------------------------------------------------------
 
-bool is_fresh(const intake& intake, const std::string& zone, unix_ms now) {
+// What the present owner of the zone has told; nothing when it has not yet.
+const known_pool* find_current(const intake& intake, const std::string& zone) {
   auto pool = intake.pools.find(zone);
   auto grant = intake.grants.find(zone);
-  return pool != intake.pools.end() && grant != intake.grants.end() &&
-         now - pool->second.heard_ms <= POOL_SILENCE_MS &&
-         pool->second.token == grant->second.token();
+  bool current = pool != intake.pools.end() && grant != intake.grants.end() &&
+                 pool->second.token == grant->second.token();
+  return current ? &pool->second : nullptr;
+}
+
+bool is_fresh(const intake& intake, const std::string& zone, unix_ms now) {
+  const known_pool* pool = find_current(intake, zone);
+  return pool != nullptr && now - pool->heard_ms <= POOL_SILENCE_MS;
 }
 
 // Gives each task of the step that has none a zone.
@@ -212,16 +223,18 @@
   if (request.tasks().empty())
     return;
   request.set_resumed(job.zones.contains(zone));
-  request.set_echo_ms(echo_for(intake, zone));
+  if (const known_pool* pool = find_current(intake, zone))
+    request.set_echo_ms(pool->clock_ms);
+  ++intake.pools[zone].requests_sent;
   job.zones[zone] = grant->second.token();
   out.messages.emplace_back(grant->second.host(), std::move(envelope));
 }
 
-// Asks a zone's new owner for what the former one has not reported.
-void ask_new_owner(intake& intake,
-                   const std::string& zone,
-                   unix_ms now,
-                   intake_output& out) {
+// Asks a zone's owner for what is missing.
+void ask_again(intake& intake,
+               const std::string& zone,
+               unix_ms now,
+               intake_output& out) {
   for (auto& [submission, job] : intake.jobs) {
     if (!job.zones.contains(zone))
       continue;
@@ -404,20 +417,29 @@
                intake_output& out) {
   known_pool& pool = intake.pools[state.zone()];
   bool is_new_owner = pool.token != state.token();
-  pool = {state.token(), now, state.clock_ms(), {}};
+  if (is_new_owner)
+    pool = {};
+  bool lost = state.requests_lost() || state.results() != pool.results_received;
+  pool.token = state.token();
+  pool.heard_ms = now;
+  pool.clock_ms = state.clock_ms();
+  pool.results_received = state.results();
+  pool.rooms.clear();
   for (const wire::service_room& room : state.services())
     pool.rooms[room.service()] = read_room(room);
-  if (is_new_owner)
-    ask_new_owner(intake, state.zone(), now, out);
+  if (is_new_owner || lost)
+    ask_again(intake, state.zone(), now, out);
 }
 
-int64_t echo_for(const intake& intake, const std::string& zone) {
-  auto pool = intake.pools.find(zone);
-  auto grant = intake.grants.find(zone);
-  bool same_owner = pool != intake.pools.end() &&
-                    grant != intake.grants.end() &&
-                    pool->second.token == grant->second.token();
-  return same_owner ? pool->second.clock_ms : 0;
+wire::pool_hello make_pool_hello(const intake& intake,
+                                 const std::string& zone) {
+  wire::pool_hello hello;
+  hello.set_zone(zone);
+  if (const known_pool* pool = find_current(intake, zone)) {
+    hello.set_echo_ms(pool->clock_ms);
+    hello.set_requests(pool->requests_sent);
+  }
+  return hello;
 }
 
 void take_results(intake& intake,
@@ -425,6 +447,11 @@
                   const wire::run_results& results,
                   unix_ms now,
                   intake_output& out) {
+  for (auto& [zone, pool] : intake.pools) {
+    auto grant = intake.grants.find(zone);
+    if (grant != intake.grants.end() && grant->second.host() == from)
+      ++pool.results_received;
+  }
   std::vector<uint64_t> touched;
   for (const wire::run_result& result : results.results()) {
     auto found = intake.jobs.find(result.submission());
@@ -471,12 +498,16 @@
   }
 }
 
+static int64_t resend_interval_ms(const intake_job& job) {
+  return job.zones.empty() ? UNASSIGNED_RETRY_MS : RESEND_MS;
+}
+
 void tick_intake(intake& intake, unix_ms now, intake_output& out) {
   std::vector<uint64_t> expired;
   for (auto& [submission, job] : intake.jobs) {
     if (now >= job.deadline_ms)
       expired.push_back(submission);
-    else if (now >= job.sent_ms + RESEND_MS)
+    else if (now >= job.sent_ms + resend_interval_ms(job))
       send_steps(intake, submission, true, now, out);
   }
   for (uint64_t submission : expired) {
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -125,6 +125,9 @@
   unix_ms heard_ms = 0;
   // The owner's clock when it told this.
   int64_t clock_ms = 0;
+  // Messages to and from this owner; see pool_hello and pool_state.
+  uint64_t requests_sent = 0;
+  uint64_t results_received = 0;
   // By service.
   std::map<std::string, zone_room> rooms;
 };
@@ -168,8 +171,8 @@
                unix_ms now,
                intake_output& out);
 
-// What to echo to the owner of a zone: its clock as last told; 0: nothing yet.
-int64_t echo_for(const intake& intake, const std::string& zone);
+// What this entry host says to the owner of a zone a few times a second.
+wire::pool_hello make_pool_hello(const intake& intake, const std::string& zone);
 void take_results(intake& intake,
                   const std::string& from,
                   const wire::run_results& results,
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -54,6 +54,7 @@
 struct leased_run {
   // 0: found on the upstream, asked for by nobody so far.
   uint64_t submission = 0;
+  uint32_t step = 0;
   uint32_t task = 0;
   uint32_t attempt = 0;
   wire::room need;
@@ -69,8 +70,17 @@
   unix_ms began_ms = 0;
 };
 
+// An amount of room; may exceed what there is.
+struct room_sum {
+  int64_t cpu_milli = 0;
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+};
+
 struct leased_upstream {
   wire::upstream info;
+  // Invariant: the sum of `need` over `runs`.
+  room_sum used;
   // A list was read under the current token.
   bool listed = false;
   // Upstream's clock less ours.
@@ -124,6 +134,10 @@
   // message that waited while this process stood still proves nothing newer.
   unix_ms heard_ms = 0;
   uint64_t incarnation = 0;
+  // Messages in both directions; what the two sides count differs when some
+  // were lost.
+  uint64_t requests_received = 0;
+  uint64_t results_sent = 0;
 };
 
 // Order of service: those that can still meet their objective before those
@@ -153,6 +167,10 @@
   std::map<std::string, std::string> placed;
   // Ends that a new owner found and that nobody has asked for yet.
   std::map<std::string, std::pair<run_end, unix_ms>> found_ends;
+  // Until then found runs may be adopted.
+  unix_ms adoptable_until_ms = 0;
+  // Something changed that may let a queued task start.
+  bool may_place = false;
 };
 
 // What the pool wants done.
@@ -198,6 +216,13 @@
                unix_ms now,
                pool_output& out);
 
+// The answer to an entry host's hello: room and queue, and what was lost on the
+// way between the two.
+wire::pool_state answer_hello(pool& pool,
+                              const std::string& host,
+                              const wire::pool_hello& hello,
+                              unix_ms now);
+
 void order_replied(pool& pool,
                    uint64_t order,
                    const order_reply& reply,
@@ -206,7 +231,8 @@
 
 void tick_pool(pool& pool, unix_ms now, pool_output& out);
 
-// Starts what can be started. Ends each series of changes.
+// Starts what can be started. Ends each series of changes; does nothing unless
+// one of them may let a queued task start.
 void place_tasks(pool& pool, unix_ms now, pool_output& out);
 
 // Free and queued room by service, for the choice of a zone.
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -13,7 +13,8 @@
 
 // ---- pool_jobs.cc -----------------------------------------------------------
 
-pool_job* find_job(pool& pool, uint64_t submission, const std::string& name);
+// Nothing for a run that nobody asks for.
+pool_job* find_job(pool& pool, const leased_run& run);
 
 // Binds a run or an end that a new owner found to the task that it is of.
 bool adopt_task(pool& pool, pool_job& job, uint32_t task, pool_output& out);
@@ -27,7 +28,6 @@
 
 // What a settled run means for its task.
 void task_run_over(pool& pool,
-                   const std::string& name,
                    const leased_run& run,
                    const std::string& upstream,
                    run_end how,
@@ -51,7 +51,9 @@
 
 // ---- pool_place.cc ----------------------------------------------------------
 
-wire::room free_room(const leased_upstream& upstream);
+room_sum free_room(const leased_upstream& upstream);
+void take_room(leased_upstream& upstream, const wire::room& need);
+void give_room_back(leased_upstream& upstream, const wire::room& need);
 queue_key key_of(const pool_job& job);
 
 // Moves queued jobs that can't meet their objective any more behind the
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -11,7 +11,8 @@
 namespace cyclamenwood {
 namespace {
 
-void add_result(pool_output& out,
+void add_result(pool& pool,
+                pool_output& out,
                 const pool_job& job,
                 uint32_t task,
                 const pool_task& state) {
@@ -27,6 +28,9 @@
       return;
     }
   }
+  auto peer = pool.peers.find(job.from);
+  if (peer != pool.peers.end())
+    ++peer->second.results_sent;
   out.results.emplace_back(job.from, wire::run_results());
   *out.results.back().second.add_results() = std::move(result);
 }
@@ -70,15 +74,9 @@
   return fmt::format("{}.0.{}.{}", request.job(), request.step(), task);
 }
 
-pool_job* find_job(pool& pool, uint64_t submission, const std::string& name) {
-  for (auto found = pool.jobs.lower_bound({submission, 0});
-       found != pool.jobs.end() && found->first.first == submission; ++found) {
-    std::string prefix = fmt::format("{}.0.{}.", found->second.request.job(),
-                                     found->second.request.step());
-    if (name.starts_with(prefix))
-      return &found->second;
-  }
-  return nullptr;
+pool_job* find_job(pool& pool, const leased_run& run) {
+  auto found = pool.jobs.find({run.submission, run.step});
+  return found == pool.jobs.end() ? nullptr : &found->second;
 }
 
 bool adopt_task(pool& pool, pool_job& job, uint32_t task, pool_output& out) {
@@ -93,12 +91,17 @@
   auto placed = pool.placed.find(name);
   if (placed == pool.placed.end())
     return false;
-  leased_run& run = pool.upstreams[placed->second].runs[name];
+  leased_upstream& upstream = pool.upstreams[placed->second];
+  leased_run& run = upstream.runs[name];
   if (run.submission != 0 || run.state == run_state::stopping)
     return false;
   run.submission = job.request.submission();
+  run.step = job.request.step();
   run.task = task;
+  give_room_back(upstream, run.need);
   run.need = job.request.need();
+  take_room(upstream, run.need);
+  pool.may_place = true;
   pool_task& state = job.tasks[task];
   state.queued = false;
   job.started = true;
@@ -109,6 +112,7 @@
 void enqueue_task(pool& pool, pool_job& job, uint32_t task) {
   job.tasks[task].queued = true;
   pool.queue.insert(key_of(job));
+  pool.may_place = true;
 }
 
 void settle_task(pool& pool,
@@ -123,16 +127,15 @@
                            [](const auto& item) { return item.second.queued; });
   if (!waits)
     pool.queue.erase(key_of(job));
-  add_result(out, job, task, state);
+  add_result(pool, out, job, task, state);
 }
 
 void task_run_over(pool& pool,
-                   const std::string& name,
                    const leased_run& run,
                    const std::string& upstream,
                    run_end how,
                    pool_output& out) {
-  pool_job* job = find_job(pool, run.submission, name);
+  pool_job* job = find_job(pool, run);
   if (job == nullptr)
     return;
   pool_task& task = job->tasks[run.task];
@@ -161,6 +164,9 @@
                   pool_output& out) {
   if (pool.token == 0)
     return;
+  auto peer = pool.peers.find(from);
+  if (peer != pool.peers.end())
+    ++peer->second.requests_received;
   supersede(pool, request, now, out);
   pool_job_id id{request.submission(), request.step()};
   auto [found, added] = pool.jobs.try_emplace(id);
@@ -176,7 +182,7 @@
   for (uint32_t task : request.tasks()) {
     auto [state, is_new] = job.tasks.try_emplace(task);
     if (state->second.outcome != wire::RUN_UNSPECIFIED)
-      add_result(out, job, task, state->second);
+      add_result(pool, out, job, task, state->second);
     else if (is_new && !adopt_task(pool, job, task, out))
       enqueue_task(pool, job, task);
   }
@@ -213,13 +219,30 @@
     return false;
   auto [found, added] = pool.peers.try_emplace(host);
   pool_peer& peer = found->second;
-  if (!added && peer.incarnation != incarnation)
+  if (!added && peer.incarnation != incarnation) {
     drop_peer_jobs(pool, host, now, out);
+    peer = {};
+  }
   peer.incarnation = incarnation;
   peer.heard_ms = std::max(peer.heard_ms, echo_ms);
   return true;
 }
 
+wire::pool_state answer_hello(pool& pool,
+                              const std::string& host,
+                              const wire::pool_hello& hello,
+                              unix_ms now) {
+  wire::pool_state state = describe_pool(pool, now);
+  auto found = pool.peers.find(host);
+  if (found == pool.peers.end())
+    return state;
+  pool_peer& peer = found->second;
+  state.set_results(peer.results_sent);
+  state.set_requests_lost(peer.requests_received != hello.requests());
+  peer.requests_received = hello.requests();
+  return state;
+}
+
 void expire_peers(pool& pool, unix_ms now, pool_output& out) {
   std::vector<std::string> silent;
   for (const auto& [host, peer] : pool.peers) {
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -9,16 +9,18 @@
 // room from those that can.
 #include <algorithm>
 #include <optional>
+#include <string_view>
+#include <utility>
 
 #include "cyclamenwood/pool_internal.h"
 
 namespace cyclamenwood {
 namespace {
 
-bool fits(const wire::room& need, const wire::room& free) {
-  return need.cpu_milli() <= free.cpu_milli() &&
-         need.memory_mb() <= free.memory_mb() &&
-         need.accelerators() <= free.accelerators();
+bool fits(const wire::room& need, const room_sum& free) {
+  return need.cpu_milli() <= free.cpu_milli &&
+         need.memory_mb() <= free.memory_mb &&
+         need.accelerators() <= free.accelerators;
 }
 
 bool has_label(const wire::upstream& upstream, const std::string& label) {
@@ -48,12 +50,12 @@
         upstream.info.service() != request.service() ||
         !has_label(upstream.info, request.label()))
       continue;
-    wire::room free = free_room(upstream);
+    room_sum free = free_room(upstream);
     if (!fits(request.need(), free))
       continue;
     preference offered{task.failed_on.contains(id),
                        !has_label(upstream.info, request.rack()),
-                       free.cpu_milli() - request.need().cpu_milli()};
+                       free.cpu_milli - request.need().cpu_milli()};
     if (best == nullptr || offered < best_preference) {
       best = &upstream;
       best_preference = offered;
@@ -102,22 +104,62 @@
   return waits;
 }
 
-}  // namespace
+// The most processor room that one upstream of each service has free: most
+// jobs of a long queue are passed over by it without a look at the upstreams.
+class largest_room {
+ public:
+  largest_room(const pool& pool, unix_ms now) : pool_(pool), now_(now) {
+    measure();
+  }
+
+  bool may_fit(const pool_job& job) const {
+    auto found = cpu_milli_.find(job.request.service());
+    return found != cpu_milli_.end() &&
+           job.request.need().cpu_milli() <= found->second;
+  }
 
-wire::room free_room(const leased_upstream& upstream) {
-  int64_t cpu = upstream.info.capacity().cpu_milli();
-  int64_t memory = upstream.info.capacity().memory_mb();
-  int64_t accelerators = upstream.info.capacity().accelerators();
-  for (const auto& [name, run] : upstream.runs) {
-    cpu -= run.need.cpu_milli();
-    memory -= run.need.memory_mb();
-    accelerators -= run.need.accelerators();
+  // After tasks were placed.
+  void measure() {
+    cpu_milli_.clear();
+    for (const auto& [id, upstream] : pool_.upstreams) {
+      if (!may_take_work(upstream, now_))
+        continue;
+      int64_t& largest = cpu_milli_[upstream.info.service()];
+      largest = std::max(largest, free_room(upstream).cpu_milli);
+    }
   }
-  wire::room free;
-  free.set_cpu_milli(std::max<int64_t>(cpu, 0));
-  free.set_memory_mb(std::max<int64_t>(memory, 0));
-  free.set_accelerators(std::max<int64_t>(accelerators, 0));
-  return free;
+
+ private:
+  const pool& pool_;
+  unix_ms now_;
+  std::map<std::string_view, int64_t> cpu_milli_;
+};
+
+// A run or an end that a new owner found may be what a queued task waits for.
+bool may_adopt(const pool& pool, unix_ms now) {
+  return !pool.found_ends.empty() || now <= pool.adoptable_until_ms;
+}
+
+}  // namespace
+
+room_sum free_room(const leased_upstream& upstream) {
+  const wire::room& capacity = upstream.info.capacity();
+  const room_sum& used = upstream.used;
+  return {std::max<int64_t>(capacity.cpu_milli() - used.cpu_milli, 0),
+          std::max<int64_t>(capacity.memory_mb() - used.memory_mb, 0),
+          std::max<int64_t>(capacity.accelerators() - used.accelerators, 0)};
+}
+
+void take_room(leased_upstream& upstream, const wire::room& need) {
+  upstream.used.cpu_milli += need.cpu_milli();
+  upstream.used.memory_mb += need.memory_mb();
+  upstream.used.accelerators += need.accelerators();
+}
+
+void give_room_back(leased_upstream& upstream, const wire::room& need) {
+  upstream.used.cpu_milli -= need.cpu_milli();
+  upstream.used.memory_mb -= need.memory_mb();
+  upstream.used.accelerators -= need.accelerators();
 }
 
 // When the job must start to meet its objective, or its caller at least.
@@ -153,6 +195,10 @@
   if (pool.token == 0)
     return;
   expire_peers(pool, now, out);
+  if (!std::exchange(pool.may_place, false))
+    return;
+  largest_room room(pool, now);
+  bool adopts = may_adopt(pool, now);
   std::vector<queue_key> waiting(pool.queue.begin(), pool.queue.end());
   for (const queue_key& key : waiting) {
     pool_job& job = pool.jobs.at(std::get<pool_job_id>(key));
@@ -160,10 +206,12 @@
       expire_job(pool, job, out);
       continue;
     }
-    if (must_wait_for_lists(pool, job, now))
+    bool hopeful = adopts || room.may_fit(job);
+    if (!hopeful || must_wait_for_lists(pool, job, now))
       continue;
     if (!place_job(pool, job, now, out))
       pool.queue.erase(key);
+    room.measure();
   }
 }
 
@@ -177,7 +225,8 @@
     if (!may_take_work(upstream, now))
       continue;
     wire::service_room& room = rooms[upstream.info.service()];
-    room.add_free_cpu_milli(free_room(upstream).cpu_milli());
+    room.add_free_cpu_milli(
+        static_cast<uint32_t>(free_room(upstream).cpu_milli));
     room.set_total_cpu_milli(room.total_cpu_milli() +
                              upstream.info.capacity().cpu_milli());
   }
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -95,7 +95,7 @@
                 leased_run& run,
                 unix_ms now,
                 pool_output& out) {
-  const pool_job* job = find_job(pool, run.submission, name);
+  const pool_job* job = find_job(pool, run);
   if (job == nullptr) {
     stop_run(pool, upstream, name, now, out);
     return;
@@ -129,10 +129,12 @@
              run_end how,
              pool_output& out) {
   auto found = upstream.runs.find(name);
-  leased_run run = found->second;
+  leased_run run = std::move(found->second);
   upstream.runs.erase(found);
+  give_room_back(upstream, run.need);
   pool.placed.erase(name);
-  task_run_over(pool, name, run, upstream.info.id(), how, out);
+  pool.may_place = true;
+  task_run_over(pool, run, upstream.info.id(), how, out);
 }
 
 void end_all_runs(pool& pool,
@@ -321,6 +323,11 @@
                                        upstream.info.id(), upstream.failures)});
 }
 
+void keep_found_end(pool& pool, const listed_end& end, unix_ms now) {
+  pool.found_ends[end.task] = {end.how, now};
+  pool.may_place = true;
+}
+
 void take_end(pool& pool,
               leased_upstream& upstream,
               const listed_end& end,
@@ -334,7 +341,7 @@
   if (run != upstream.runs.end() && run->second.attempt == end.attempt)
     end_run(pool, upstream, end.task, end.how, out);
   else if (!upstream.listed)
-    pool.found_ends[end.task] = {end.how, now};
+    keep_found_end(pool, end, now);
 }
 
 // Gives a job up as soon as the progress of one of its tasks shows that it
@@ -353,7 +360,7 @@
   // Progress is told in whole percent, rounded down.
   int64_t left = std::max<int64_t>(99 - listed.percent, 0);
   unix_ms earliest_end_ms = now + elapsed_ms * left / (listed.percent + 1);
-  pool_job* job = find_job(pool, run.submission, listed.task);
+  pool_job* job = find_job(pool, run);
   if (job == nullptr || earliest_end_ms <= job->deadline_ms)
     return;
   pool_task& task = job->tasks[run.task];
@@ -387,9 +394,12 @@
   leased_run& found = upstream.runs[listed.task];
   found.attempt = listed.attempt;
   found.need = upstream.info.capacity();
+  take_room(upstream, found.need);
   found.state = run_state::running;
   found.listed_from_ms = now;
   found.found_ms = now;
+  pool.adoptable_until_ms = now + ADOPTION_MS;
+  pool.may_place = true;
   if (!elsewhere)
     pool.placed[listed.task] = upstream.info.id();
   // Only a new owner adopts: later, this is a start that came too late.
@@ -429,7 +439,7 @@
     upstream.next_hold_ms = now + (gone ? GONE_RETRY_MS : UNREACHABLE_RETRY_MS);
     return;
   }
-  upstream.reachable = true;
+  bool was_reachable = std::exchange(upstream.reachable, true);
   bool reborn = reply.incarnation > upstream.info.incarnation();
   if (reborn) {
     begin_new_life(upstream, reply.incarnation, now, out);
@@ -440,6 +450,7 @@
   for (const listed_run& run : reply.running)
     take_running(pool, upstream, run, now, out);
   settle_absent(pool, upstream, reply, sent_ms, out);
+  pool.may_place = pool.may_place || !upstream.listed || !was_reachable;
   upstream.listed = true;
   // A new life is looked at again at once, so that what ended with the former
   // one is known to be absent.
@@ -482,9 +493,11 @@
   std::string name = task_name(job.request, task);
   leased_run& run = upstream.runs[name];
   run.submission = job.request.submission();
+  run.step = job.request.step();
   run.task = task;
   run.attempt = job.tasks.at(task).next_attempt;
   run.need = job.request.need();
+  take_room(upstream, run.need);
   pool.placed[name] = upstream.info.id();
   send_start(pool, upstream, name, run, now, out);
 }
@@ -549,6 +562,7 @@
     return;
   bool reborn = !added && heard.incarnation() > known.info.incarnation();
   bool leaves = !reborn && known.info.state() == wire::UPSTREAM_LEAVING;
+  pool.may_place = true;
   if (reborn)
     begin_new_life(known, heard.incarnation(), now, out);
   known.info = heard;
@@ -594,6 +608,8 @@
 void tick_pool(pool& pool, unix_ms now, pool_output& out) {
   if (pool.token == 0)
     return;
+  // Jobs expire, and rests of upstreams end, by time.
+  pool.may_place = true;
   sort_out_late(pool, now);
   std::vector<std::string> forgotten;
   for (auto& [id, upstream] : pool.upstreams) {
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -347,7 +347,24 @@
     send_news(name);
 }
 
+// The room that pools keep count of against the simple sum.
+void host_model::check_room() {
+  for (const auto& [name, host] : hosts_) {
+    if (!host.state)
+      continue;
+    for (const auto& [id, upstream] : host.state->upstreams.upstreams) {
+      int64_t sum = 0;
+      for (const auto& [task, run] : upstream.runs)
+        sum += run.need.cpu_milli();
+      if (sum != upstream.used.cpu_milli)
+        fail(fmt::format("{} counts {} of {} used on {}", name,
+                         upstream.used.cpu_milli, sum, id));
+    }
+  }
+}
+
 void host_model::check() {
+  check_room();
   std::map<std::string, int> running;
   for (fake_upstream& upstream : upstreams_) {
     upstream.advance(now_);
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -100,6 +100,7 @@
   void crash(host& host);
   void submit(caller_job& job);
   void check();
+  void check_room();
   void fail(const std::string& what);
   fake_upstream* find_upstream(const std::string& id);
 
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -483,5 +483,21 @@
   EXPECT_EQ(upstreams[1].starts(), 3U);
 }
 
+TEST_F(pool_fixture, a_hello_shows_which_messages_were_lost) {
+  add_upstream("u1");
+  own(1);
+  ask(request(7, "j1", 1));
+  wire::pool_hello hello;
+  hello.set_requests(1);
+  EXPECT_FALSE(answer_hello(state, "e1", hello, now).requests_lost());
+  // A second request was sent and did not arrive.
+  hello.set_requests(2);
+  EXPECT_TRUE(answer_hello(state, "e1", hello, now).requests_lost());
+  EXPECT_FALSE(answer_hello(state, "e1", hello, now).requests_lost());
+  run_until(now + 400);
+  ASSERT_EQ(count(wire::RUN_DONE), 1U);
+  EXPECT_EQ(answer_hello(state, "e1", hello, now).results(), 1U);
+}
+
 }  // namespace
 }  // namespace cyclamenwood
