Tasks that stand still or go slowly move; ejection by comparison

Cause: a task on an upstream that stands still ran until its caller left, and one on a slow upstream was given up though others had room. Upstreams were ejected after three failures in a row, whatever the others did: a payload that fails everywhere could empty a zone.

Change: pool_progress.cc works out from the lists when a run would end here and elsewhere, and moves it (stop settled first) when it then meets a limit that it misses here and what is left is less than half. Ejection, probation and their ceiling are those of health.h, with limits of its own (3 attempts, share 0.45).

Ruled out: holding the upstream's lists at shorter intervals (three a second find a standing task in 550 ms in the test).

Tests: pool_fixture.a_task_that_stands_still_is_moved, a_slow_upstream_loses_its_task_to_a_better_one, a_slow_task_is_not_moved_without_room_elsewhere, jobs_that_always_fail_eject_nobody, an_ejected_upstream_is_probed_with_one_task.

--- a/cyclamenwood/health.cc
+++ b/cyclamenwood/health.cc
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr double SAMPLE_WEIGHT = 0.2;
-constexpr int64_t MIN_SAMPLES = 5;
-constexpr double EJECT_ABOVE = 0.6;
 constexpr double OTHERS_BELOW = 0.3;
 constexpr int64_t MAX_EJECTION_DOUBLINGS = 4;
 constexpr int64_t PERCENT = 100;
@@ -51,7 +49,8 @@
 bool should_eject(const health_table& table,
                   std::string_view id,
                   const upstream_health& health) {
-  if (health.samples < MIN_SAMPLES || health.failure_rate < EJECT_ABOVE)
+  if (health.samples < table.limits.min_samples ||
+      health.failure_rate < table.limits.failure_rate)
     return false;
   peers_summary peers = summarize_peers(table, id, health);
   bool below_ceiling = (peers.ejected_in_zone + 1) * PERCENT <=
--- a/cyclamenwood/health.h
+++ b/cyclamenwood/health.h
@@ -34,8 +34,16 @@
   int64_t ejections = 0;
 };
 
+// When the share of failures ejects an upstream whose service does better.
+struct ejection_limits {
+  // Attempts before the share says anything.
+  int64_t min_samples = 5;
+  double failure_rate = 0.6;
+};
+
 struct health_table {
   dispatch_settings options;
+  ejection_limits limits;
   std::map<std::string, upstream_health, std::less<>> upstreams;
 };
 
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -29,6 +29,7 @@
 #include <utility>
 #include <vector>
 
+#include "cyclamenwood/health.h"
 #include "cyclamenwood/order.h"
 #include "cyclamenwood/types.h"
 #include "cyclamenwood/wire.pb.h"
@@ -68,6 +69,9 @@
   unix_ms found_ms = 0;
   // When it began; 0: not known.
   unix_ms began_ms = 0;
+  // What the lists last told of its progress, and since when that stands.
+  int64_t percent = 0;
+  unix_ms percent_since_ms = 0;
 };
 
 // An amount of room; may exceed what there is.
@@ -99,8 +103,9 @@
   unix_ms heard_ms = 0;
   // No new work before this time.
   unix_ms rest_until_ms = 0;
-  // Failed runs since the last success.
-  int failures = 0;
+  // It was ejected: after its rest it gets one task at a time until one ends
+  // well.
+  bool on_probation = false;
   // By task name.
   std::map<std::string, leased_run> runs;
 };
@@ -109,7 +114,10 @@
   bool queued = true;
   uint32_t failures = 0;
   uint32_t next_attempt = 1;
+  // Upstreams where an attempt failed or made too little progress.
   std::set<std::string> failed_on;
+  // Attempts that were stopped to run elsewhere.
+  int moves = 0;
   wire::run_outcome outcome = wire::RUN_UNSPECIFIED;
 };
 
@@ -123,6 +131,8 @@
   bool started = false;
   // The objective can't be met any more.
   bool late = false;
+  // The longest run of a task that ended well; 0: none has.
+  int64_t longest_run_ms = 0;
   std::map<uint32_t, pool_task> tasks;
 };
 
@@ -160,6 +170,9 @@
   // Orders under way: the upstream and, but for holds, the task.
   std::map<uint64_t, run_order> orders;
   std::map<std::string, leased_upstream> upstreams;
+  // Three failures in a row are a share of 0.49. Tasks come one by one to an
+  // upstream, and each failure uses up an attempt of a job.
+  health_table health{{}, {3, 0.45}, {}};
   std::map<pool_job_id, pool_job> jobs;
   std::map<std::string, pool_peer> peers;
   std::set<queue_key> queue;
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -49,8 +49,30 @@
               unix_ms now,
               pool_output& out);
 
+// ---- pool_progress.cc -------------------------------------------------------
+
+// Takes in what a list tells of a run: moves its task elsewhere, or gives its
+// job up, when it makes too little progress.
+void judge_progress(pool& pool,
+                    leased_upstream& upstream,
+                    const listed_run& listed,
+                    unix_ms now,
+                    pool_output& out);
+
+// Counts an attempt for or against the upstream; may eject it.
+void record_attempt(pool& pool,
+                    leased_upstream& upstream,
+                    attempt_verdict verdict,
+                    unix_ms now,
+                    pool_output& out);
+
 // ---- pool_place.cc ----------------------------------------------------------
 
+// Where the task would run best now; nothing when no upstream has room.
+leased_upstream* choose_upstream(pool& pool,
+                                 const pool_job& job,
+                                 const pool_task& task,
+                                 unix_ms now);
 room_sum free_room(const leased_upstream& upstream);
 void take_room(leased_upstream& upstream, const wire::room& need);
 void give_room_back(leased_upstream& upstream, const wire::room& need);
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -32,38 +32,13 @@
 bool may_take_work(const leased_upstream& upstream, unix_ms now) {
   return upstream.listed && upstream.reachable &&
          upstream.info.state() == wire::UPSTREAM_READY &&
-         now >= upstream.rest_until_ms;
+         now >= upstream.rest_until_ms &&
+         !(upstream.on_probation && !upstream.runs.empty());
 }
 
 // Better is smaller: not failed there before, near its data, fullest.
 using preference = std::tuple<bool, bool, int64_t>;
 
-leased_upstream* choose_upstream(pool& pool,
-                                 const pool_job& job,
-                                 const pool_task& task,
-                                 unix_ms now) {
-  const wire::run_request& request = job.request;
-  leased_upstream* best = nullptr;
-  preference best_preference;
-  for (auto& [id, upstream] : pool.upstreams) {
-    if (!may_take_work(upstream, now) ||
-        upstream.info.service() != request.service() ||
-        !has_label(upstream.info, request.label()))
-      continue;
-    room_sum free = free_room(upstream);
-    if (!fits(request.need(), free))
-      continue;
-    preference offered{task.failed_on.contains(id),
-                       !has_label(upstream.info, request.rack()),
-                       free.cpu_milli - request.need().cpu_milli()};
-    if (best == nullptr || offered < best_preference) {
-      best = &upstream;
-      best_preference = offered;
-    }
-  }
-  return best;
-}
-
 bool is_expired(const pool_job& job, unix_ms now) {
   return now + job.request.estimate_ms() / 2 > job.deadline_ms;
 }
@@ -142,6 +117,32 @@
 
 }  // namespace
 
+leased_upstream* choose_upstream(pool& pool,
+                                 const pool_job& job,
+                                 const pool_task& task,
+                                 unix_ms now) {
+  const wire::run_request& request = job.request;
+  leased_upstream* best = nullptr;
+  preference best_preference;
+  for (auto& [id, upstream] : pool.upstreams) {
+    if (!may_take_work(upstream, now) ||
+        upstream.info.service() != request.service() ||
+        !has_label(upstream.info, request.label()))
+      continue;
+    room_sum free = free_room(upstream);
+    if (!fits(request.need(), free))
+      continue;
+    preference offered{task.failed_on.contains(id),
+                       !has_label(upstream.info, request.rack()),
+                       free.cpu_milli - request.need().cpu_milli()};
+    if (best == nullptr || offered < best_preference) {
+      best = &upstream;
+      best_preference = offered;
+    }
+  }
+  return best;
+}
+
 room_sum free_room(const leased_upstream& upstream) {
   const wire::room& capacity = upstream.info.capacity();
   const room_sum& used = upstream.used;
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -26,13 +26,8 @@
 constexpr int64_t GONE_RETRY_MS = 500;
 // Starts of one attempt before another upstream is tried.
 constexpr int MAX_UNANSWERED_STARTS = 3;
-// Progress over a shorter time says little of the whole.
-constexpr int64_t MIN_PROGRESS_MS = 100;
 constexpr int64_t REST_MS = 500;
 constexpr int64_t NO_ROOM_REST_MS = 100;
-// An upstream that fails this many runs in a row, whatever their jobs, rests.
-constexpr int FAILURES_TO_EJECT = 3;
-constexpr int64_t EJECTION_MS = 2'000;
 // An upstream's clock may be 2% slow; the rest covers reading it.
 constexpr double SLOWEST_CLOCK = 0.98;
 constexpr int64_t LEASE_MARGIN_MS = 30;
@@ -187,6 +182,7 @@
   upstream.info.set_incarnation(incarnation);
   upstream.last_seen = 0;
   upstream.clock_offset_ms.reset();
+  upstream.on_probation = false;
   for (auto& [name, run] : upstream.runs) {
     if (run.unanswered_starts == 0)
       continue;
@@ -306,21 +302,18 @@
     run->listed_from_ms = std::min(run->listed_from_ms, now);
 }
 
-void count_end(leased_upstream& upstream,
-               run_end how,
-               unix_ms now,
-               pool_output& out) {
+attempt_verdict verdict_on(run_end how) {
   if (how == run_end::done)
-    upstream.failures = 0;
-  if (how != run_end::failed)
-    return;
-  ++upstream.failures;
-  if (upstream.failures < FAILURES_TO_EJECT)
-    return;
-  upstream.rest_until_ms = now + EJECTION_MS;
-  out.notes.push_back(
-      {"upstream_ejected", fmt::format("upstream={} failures={}",
-                                       upstream.info.id(), upstream.failures)});
+    return attempt_verdict::succeeded;
+  return how == run_end::failed ? attempt_verdict::failed
+                                : attempt_verdict::neutral;
+}
+
+// How long a task of a job takes says how long the others will.
+void note_length(pool& pool, const leased_run& run, unix_ms now) {
+  pool_job* job = find_job(pool, run);
+  if (job != nullptr && run.began_ms != 0)
+    job->longest_run_ms = std::max(job->longest_run_ms, now - run.began_ms);
 }
 
 void keep_found_end(pool& pool, const listed_end& end, unix_ms now) {
@@ -336,42 +329,15 @@
   if (end.number <= upstream.last_seen)
     return;
   upstream.last_seen = end.number;
-  count_end(upstream, end.how, now, out);
+  record_attempt(pool, upstream, verdict_on(end.how), now, out);
   auto run = upstream.runs.find(end.task);
-  if (run != upstream.runs.end() && run->second.attempt == end.attempt)
+  if (run != upstream.runs.end() && run->second.attempt == end.attempt) {
+    if (end.how == run_end::done)
+      note_length(pool, run->second, now);
     end_run(pool, upstream, end.task, end.how, out);
-  else if (!upstream.listed)
+  } else if (!upstream.listed) {
     keep_found_end(pool, end, now);
-}
-
-// Gives a job up as soon as the progress of one of its tasks shows that it
-// can't end before its caller leaves: its room is worth more to others, and
-// the caller learns it early.
-void judge_progress(pool& pool,
-                    const listed_run& listed,
-                    const leased_run& run,
-                    unix_ms now,
-                    pool_output& out) {
-  int64_t elapsed_ms = now - run.began_ms;
-  bool can_tell = run.began_ms != 0 && run.state == run_state::running &&
-                  listed.percent >= 1 && elapsed_ms >= MIN_PROGRESS_MS;
-  if (!can_tell)
-    return;
-  // Progress is told in whole percent, rounded down.
-  int64_t left = std::max<int64_t>(99 - listed.percent, 0);
-  unix_ms earliest_end_ms = now + elapsed_ms * left / (listed.percent + 1);
-  pool_job* job = find_job(pool, run);
-  if (job == nullptr || earliest_end_ms <= job->deadline_ms)
-    return;
-  pool_task& task = job->tasks[run.task];
-  if (task.outcome != wire::RUN_UNSPECIFIED)
-    return;
-  out.notes.push_back(
-      {"job_hopeless",
-       fmt::format("task={} percent={} elapsed_ms={} estimate_ms={} left_ms={}",
-                   listed.task, listed.percent, elapsed_ms,
-                   job->request.estimate_ms(), job->deadline_ms - now)});
-  settle_task(pool, *job, run.task, wire::RUN_EXPIRED, out);
+  }
 }
 
 void take_running(pool& pool,
@@ -387,7 +353,7 @@
       run.listed_from_ms = now;
       run.began_ms = now;
     }
-    judge_progress(pool, listed, run, now, out);
+    judge_progress(pool, upstream, listed, now, out);
     return;
   }
   bool elsewhere = pool.placed.contains(listed.task);
@@ -568,6 +534,8 @@
   known.info = heard;
   if (leaves)
     known.info.set_state(wire::UPSTREAM_LEAVING);
+  health_of(pool.health, heard.id(), heard.service(), heard.zone(),
+            heard.incarnation());
   if (!added && !reborn)
     return;
   known.heard_ms = now;
@@ -627,6 +595,8 @@
   }
   for (const std::string& id : forgotten)
     pool.upstreams.erase(id);
+  if (!forgotten.empty())
+    health_forget(pool.health, pool.upstreams);
   std::erase_if(pool.found_ends, [now](const auto& item) {
     return now > item.second.second + FORGET_MS / 10;
   });
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -499,5 +499,91 @@
   EXPECT_EQ(answer_hello(state, "e1", hello, now).results(), 1U);
 }
 
+// Load: one upstream stands still while another has room. Callers get their
+// answer from the other one, and no task runs twice at once.
+TEST_F(pool_fixture, a_task_that_stands_still_is_moved) {
+  fake_upstream& still = add_upstream("u1", 1000);
+  still.set_run_ms(1'000'000);
+  fake_upstream& good = add_upstream("u2", 4000);
+  own(1);
+  run_until(now + 20);
+  unix_ms asked = now;
+  ask(request(1, "j1", 1));
+  ASSERT_EQ(still.runs().size(), 0U);
+  while (count(wire::RUN_DONE) == 0 && now < asked + 2000) {
+    run_until(now + STEP_MS);
+    EXPECT_LE(still.runs().size() + good.runs().size(), 1U);
+  }
+  EXPECT_EQ(still.starts(), 1U);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+  // Found within two lists; then the stop and the run itself.
+  EXPECT_LT(now - asked, 1000);
+}
+
+TEST_F(pool_fixture, a_slow_upstream_loses_its_task_to_a_better_one) {
+  fake_upstream& slow = add_upstream("u1", 1000);
+  slow.set_run_ms(8 * RUN_MS);
+  add_upstream("u2", 4000);
+  own(1);
+  run_until(now + 20);
+  wire::run_request wanted = request(1, "j1", 1);
+  wanted.set_aim_ms(6 * RUN_MS);
+  unix_ms asked = now;
+  ask(wanted);
+  while (count(wire::RUN_DONE) == 0 && now < asked + 2000)
+    run_until(now + STEP_MS);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+  EXPECT_LE(now - asked, 6 * RUN_MS);
+}
+
+// Without room elsewhere a move would only throw work away.
+TEST_F(pool_fixture, a_slow_task_is_not_moved_without_room_elsewhere) {
+  fake_upstream& slow = add_upstream("u1", 1000);
+  slow.set_run_ms(8 * RUN_MS);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  run_until(now + 10 * RUN_MS);
+  EXPECT_EQ(slow.starts(), 1U);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+}
+
+// A payload that fails everywhere ejects no upstream.
+TEST_F(pool_fixture, jobs_that_always_fail_eject_nobody) {
+  for (const char* id : {"u1", "u2", "u3"})
+    add_upstream(id).set_failing(true);
+  own(1);
+  run_until(now + 20);
+  for (uint64_t job = 1; job <= 12; ++job) {
+    ask(request(job, "j" + std::to_string(job), 1));
+    run_until(now + 200);
+  }
+  EXPECT_EQ(count(wire::RUN_FAILED), 12U);
+  for (const auto& [id, upstream] : state.upstreams)
+    EXPECT_FALSE(upstream.on_probation) << id;
+}
+
+// After its rest an ejected upstream is tried with one task at a time.
+TEST_F(pool_fixture, an_ejected_upstream_is_probed_with_one_task) {
+  fake_upstream& bad = add_upstream("u1", 2000);
+  bad.set_failing(true);
+  add_upstream("u2", 8000);
+  own(1);
+  run_until(now + 20);
+  for (uint64_t job = 1; job <= 6; ++job) {
+    ask(request(job, "j" + std::to_string(job), 1));
+    run_until(now + 150);
+  }
+  ASSERT_TRUE(state.upstreams.at("u1").on_probation);
+  bad.set_failing(false);
+  uint64_t before = bad.starts();
+  run_until(now + 3000);
+  ask(request(50, "j50", 4));
+  EXPECT_EQ(state.upstreams.at("u1").runs.size(), 1U);
+  run_until(now + 400);
+  EXPECT_EQ(bad.starts(), before + 1);
+  EXPECT_FALSE(state.upstreams.at("u1").on_probation);
+}
+
 }  // namespace
 }  // namespace cyclamenwood
