What can't be served in time is refused on arrival

Their callers waited in vain, and what they held up was late too.

Entry hosts plan all tasks of a job and refuse it at once when it could not start in time, with the time until the queue is done as Retry-After. The pool does the same for what turns out hopeless in its queue.

Tests: pool_fixture.under_overload_callers_are_refused_on_arrival (plays the load), a_request_overtaken_by_its_release_starts_nothing, a_host_that_stood_still_may_ask_again, intake_fixture.a_job_that_would_wait_too_long_is_refused_on_arrival, zone_choice.only_what_goes_before_a_task_makes_it_wait.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -24,8 +24,9 @@
 // Tasks that no zone could take so far look for one again: the interval of the
 // news that tell of room.
 constexpr int64_t UNASSIGNED_RETRY_MS = 100;
-// Shortest time after which a refused caller may find room.
-constexpr int64_t RETRY_AFTER_MS = 1'000;
+// Refused callers come back at the earliest after this time: the shortest that
+// can be told them, in whole seconds.
+constexpr int64_t MIN_RETRY_AFTER_MS = 1'000;
 
 // Where a call goes: its route and what follows the prefix.
 struct call_target {
@@ -92,10 +93,13 @@
              caller_outcome outcome,
              std::string_view reason,
              unix_ms now,
-             intake_output& out) {
+             intake_output& out,
+             int64_t wait_ms = 0) {
   const intake_job& job = intake.jobs.at(submission);
   answer_job(out, job, outcome,
-             outcome == caller_outcome::refused ? RETRY_AFTER_MS : 0);
+             outcome == caller_outcome::refused
+                 ? std::max(wait_ms, MIN_RETRY_AFTER_MS)
+                 : 0);
   out.notes.push_back(
       {"job_ended",
        fmt::format("job={} queue={} outcome={} reason={} ms={} wait_ms={} "
@@ -125,32 +129,57 @@
   return pool != nullptr && now - pool->heard_ms <= POOL_SILENCE_MS;
 }
 
-// Gives each task of the step that has none a zone.
-void assign_zones(intake& intake,
-                  intake_job& job,
-                  uint32_t index,
-                  unix_ms now) {
-  std::vector<intake_task*> unassigned;
-  for (intake_task& task : job.steps[index].tasks) {
-    if (task.zone.empty())
-      unassigned.push_back(&task);
-  }
-  if (unassigned.empty())
-    return;
+// Zones for tasks of a step, and what is left of the room then.
+struct step_plan {
+  zone_plan zones;
   zone_rooms rooms;
+};
+
+bool has_no_zone(const intake_task& task) {
+  return task.zone.empty();
+}
+
+// For the tasks of the step that have no zone so far.
+step_plan plan_step(const intake& intake,
+                    const intake_job& job,
+                    uint32_t index,
+                    unix_ms now) {
+  step_plan planned;
   for (const auto& [zone, pool] : intake.pools) {
     auto room = pool.rooms.find(job.queue.service);
     if (is_fresh(intake, zone, now) && room != pool.rooms.end())
-      rooms[zone] = room->second;
+      planned.rooms[zone] = room->second;
   }
   const step_spec& step = job.job.steps[index];
-  std::vector<std::string> zones = choose_zones(
-      rooms, intake.zone, {step.need.cpu_milli(), step.estimate_ms},
-      unassigned.size());
-  for (size_t i = 0; i < zones.size(); ++i)
-    unassigned[i]->zone = zones[i];
-  for (auto& [zone, room] : rooms)
-    intake.pools[zone].rooms[job.queue.service] = std::move(room);
+  const std::vector<intake_task>& tasks = job.steps[index].tasks;
+  planned.zones = choose_zones(
+      planned.rooms, intake.zone,
+      {step.need.cpu_milli(), step.estimate_ms, job.queue.priority},
+      std::count_if(tasks.begin(), tasks.end(), has_no_zone));
+  return planned;
+}
+
+void carry_out_plan(intake& intake,
+                    intake_job& job,
+                    uint32_t index,
+                    step_plan planned) {
+  auto zone = planned.zones.zones.begin();
+  for (intake_task& task : job.steps[index].tasks) {
+    if (has_no_zone(task) && zone != planned.zones.zones.end())
+      task.zone = *zone++;
+  }
+  for (auto& [name, room] : planned.rooms)
+    intake.pools[name].rooms[job.queue.service] = std::move(room);
+}
+
+// Whether a job that has not begun can't be served in time: not before its
+// caller leaves or, where more work comes than can be done, not within its
+// objective.
+bool comes_too_late(const intake_job& job, const zone_plan& plan, unix_ms now) {
+  unix_ms ends_ms = now + plan.wait_ms + longest_chain_ms(job.job);
+  bool too_late = ends_ms > job.deadline_ms;
+  bool past_aim = ends_ms > job.aim_ms;
+  return plan.wait_ms > 0 && (too_late || (plan.overloaded && past_aim));
 }
 
 // With its owner in touch, a job is over when its owner is told so.
@@ -255,7 +284,7 @@
     bool unsent = job.steps[index].tasks.front().zone.empty();
     if (!is_due(job, index) || !(unsent || all))
       continue;
-    assign_zones(intake, job, index, now);
+    carry_out_plan(intake, job, index, plan_step(intake, job, index, now));
     std::set<std::string> zones;
     for (const intake_task& task : job.steps[index].tasks)
       zones.insert(task.zone);
@@ -270,7 +299,8 @@
             const caller_call& call,
             caller_outcome outcome,
             std::string_view reason) {
-  int64_t retry_after = outcome == caller_outcome::refused ? RETRY_AFTER_MS : 0;
+  int64_t retry_after =
+      outcome == caller_outcome::refused ? MIN_RETRY_AFTER_MS : 0;
   out.answers.push_back({call.exchange, outcome, retry_after, 0});
   out.notes.push_back(
       {"call_refused",
@@ -319,7 +349,14 @@
                            static_cast<double>(longest_chain_ms(job)));
   for (const step_spec& step : job.steps)
     added.steps.push_back({std::vector<intake_task>(step.count), step.count});
-  send_steps(intake, submission, false, now, out);
+  step_plan first = plan_step(intake, added, 0, now);
+  if (comes_too_late(added, first.zones, now)) {
+    end_job(intake, submission, caller_outcome::refused, "no_room_in_time", now,
+            out, first.zones.wait_ms);
+    return;
+  }
+  carry_out_plan(intake, added, 0, std::move(first));
+  send_steps(intake, submission, true, now, out);
 }
 
 }  // namespace
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -158,6 +158,13 @@
   int64_t lease_ms = 1000;
 };
 
+// Work that was asked for lately: processor room (thousandths of a core) times
+// estimated time (ms), faded.
+struct load_meter {
+  double work = 0;
+  unix_ms read_ms = 0;
+};
+
 struct pool {
   std::string zone;
   pool_options options;
@@ -174,8 +181,13 @@
   // upstream, and each failure uses up an attempt of a job.
   health_table health{{}, {3, 0.45}, {}};
   std::map<pool_job_id, pool_job> jobs;
+  // Submissions that were released, and when: a request that comes after its
+  // release was overtaken by it and must start nothing.
+  std::map<uint64_t, unix_ms> released;
   std::map<std::string, pool_peer> peers;
   std::set<queue_key> queue;
+  // By service.
+  std::map<std::string, load_meter> load;
   // Task names with an unsettled run, and where it is.
   std::map<std::string, std::string> placed;
   // Ends that a new owner found and that nobody has asked for yet.
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -33,6 +33,7 @@
                    run_end how,
                    pool_output& out);
 
+void forget_released(pool& pool, unix_ms now);
 void expire_peers(pool& pool, unix_ms now, pool_output& out);
 
 // ---- pool_runs.cc -----------------------------------------------------------
@@ -66,6 +67,23 @@
                     unix_ms now,
                     pool_output& out);
 
+// ---- pool_refuse.cc ---------------------------------------------------------
+
+// Counts work that arrives.
+void count_load(pool& pool, const wire::run_request& request, unix_ms now);
+
+// Whether more work arrives than this much processor room can do.
+bool is_overloaded(const pool& pool,
+                   const std::string& service,
+                   int64_t room_milli,
+                   unix_ms now);
+
+// Processor room (thousandths) times estimated time (ms) of the queued tasks.
+double queued_work_of(const pool_job& job);
+
+// Gives up untried jobs that wait behind more work than can be done in time.
+void refuse_hopeless(pool& pool, unix_ms now, pool_output& out);
+
 // ---- pool_place.cc ----------------------------------------------------------
 
 // Where the task would run best now; nothing when no upstream has room.
@@ -73,6 +91,11 @@
                                  const pool_job& job,
                                  const pool_task& task,
                                  unix_ms now);
+bool may_take_work(const leased_upstream& upstream, unix_ms now);
+bool is_expired(const pool_job& job, unix_ms now);
+void expire_job(pool& pool, pool_job& job, pool_output& out);
+// When the job must start to meet its objective, or its caller at least.
+unix_ms latest_start_ms(const pool_job& job);
 room_sum free_room(const leased_upstream& upstream);
 void take_room(leased_upstream& upstream, const wire::room& need);
 void give_room_back(leased_upstream& upstream, const wire::room& need);
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -35,6 +35,27 @@
   *out.results.back().second.add_results() = std::move(result);
 }
 
+// Stops the submission's runs and forgets it.
+void end_submission(pool& pool,
+                    uint64_t submission,
+                    unix_ms now,
+                    pool_output& out) {
+  auto found = pool.jobs.lower_bound({submission, 0});
+  while (found != pool.jobs.end() && found->first.first == submission) {
+    pool_job& job = found->second;
+    pool.queue.erase(key_of(job));
+    for (const auto& [task, state] : job.tasks) {
+      auto placed = pool.placed.find(task_name(job.request, task));
+      if (placed == pool.placed.end())
+        continue;
+      leased_upstream& upstream = pool.upstreams[placed->second];
+      if (upstream.runs[placed->first].submission == submission)
+        stop_run(pool, upstream, placed->first, now, out);
+    }
+    found = pool.jobs.erase(found);
+  }
+}
+
 // Ends the same job's submissions by others.
 void supersede(pool& pool,
                const wire::run_request& request,
@@ -62,7 +83,7 @@
       submissions.insert(id.first);
   }
   for (uint64_t submission : submissions)
-    release_runs(pool, submission, now, out);
+    end_submission(pool, submission, now, out);
   if (!submissions.empty())
     out.notes.push_back({"entry_host_lost", fmt::format("host={} jobs={}", host,
                                                         submissions.size())});
@@ -167,6 +188,8 @@
   auto peer = pool.peers.find(from);
   if (peer != pool.peers.end())
     ++peer->second.requests_received;
+  if (pool.released.contains(request.submission()))
+    return;
   supersede(pool, request, now, out);
   pool_job_id id{request.submission(), request.step()};
   auto [found, added] = pool.jobs.try_emplace(id);
@@ -178,6 +201,7 @@
     job.deadline_ms = now + request.remaining_ms();
     job.aim_ms = now + request.aim_ms();
     job.started = request.resumed();
+    count_load(pool, request, now);
   }
   for (uint32_t task : request.tasks()) {
     auto [state, is_new] = job.tasks.try_emplace(task);
@@ -192,20 +216,8 @@
                   uint64_t submission,
                   unix_ms now,
                   pool_output& out) {
-  auto found = pool.jobs.lower_bound({submission, 0});
-  while (found != pool.jobs.end() && found->first.first == submission) {
-    pool_job& job = found->second;
-    pool.queue.erase(key_of(job));
-    for (const auto& [task, state] : job.tasks) {
-      auto placed = pool.placed.find(task_name(job.request, task));
-      if (placed == pool.placed.end())
-        continue;
-      leased_upstream& upstream = pool.upstreams[placed->second];
-      if (upstream.runs[placed->first].submission == submission)
-        stop_run(pool, upstream, placed->first, now, out);
-    }
-    found = pool.jobs.erase(found);
-  }
+  pool.released[submission] = now;
+  end_submission(pool, submission, now, out);
 }
 
 bool hear_peer(pool& pool,
@@ -243,6 +255,13 @@
   return state;
 }
 
+void forget_released(pool& pool, unix_ms now) {
+  // Older requests are not obeyed (`hear_peer`).
+  std::erase_if(pool.released, [now](const auto& item) {
+    return now - item.second > 2 * PEER_SILENCE_MS;
+  });
+}
+
 void expire_peers(pool& pool, unix_ms now, pool_output& out) {
   std::vector<std::string> silent;
   for (const auto& [host, peer] : pool.peers) {
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -29,27 +29,9 @@
              upstream.labels().end();
 }
 
-bool may_take_work(const leased_upstream& upstream, unix_ms now) {
-  return upstream.listed && upstream.reachable &&
-         upstream.info.state() == wire::UPSTREAM_READY &&
-         now >= upstream.rest_until_ms &&
-         !(upstream.on_probation && !upstream.runs.empty());
-}
-
 // Better is smaller: not failed there before, near its data, fullest.
 using preference = std::tuple<bool, bool, int64_t>;
 
-bool is_expired(const pool_job& job, unix_ms now) {
-  return now + job.request.estimate_ms() / 2 > job.deadline_ms;
-}
-
-void expire_job(pool& pool, pool_job& job, pool_output& out) {
-  for (auto& [index, task] : job.tasks) {
-    if (task.queued)
-      settle_task(pool, job, index, wire::RUN_EXPIRED, out);
-  }
-}
-
 // A former owner's runs may still be unlisted: a resumed job waits until all
 // reachable upstreams are, or until no lease of that owner can last.
 bool must_wait_for_lists(const pool& pool, const pool_job& job, unix_ms now) {
@@ -117,6 +99,30 @@
 
 }  // namespace
 
+bool may_take_work(const leased_upstream& upstream, unix_ms now) {
+  return upstream.listed && upstream.reachable &&
+         upstream.info.state() == wire::UPSTREAM_READY &&
+         now >= upstream.rest_until_ms &&
+         !(upstream.on_probation && !upstream.runs.empty());
+}
+
+bool is_expired(const pool_job& job, unix_ms now) {
+  return now + job.request.estimate_ms() / 2 > job.deadline_ms;
+}
+
+void expire_job(pool& pool, pool_job& job, pool_output& out) {
+  for (auto& [index, task] : job.tasks) {
+    if (task.queued)
+      settle_task(pool, job, index, wire::RUN_EXPIRED, out);
+  }
+}
+
+unix_ms latest_start_ms(const pool_job& job) {
+  unix_ms by_ms =
+      job.late ? job.deadline_ms : std::min(job.aim_ms, job.deadline_ms);
+  return by_ms - job.request.estimate_ms();
+}
+
 leased_upstream* choose_upstream(pool& pool,
                                  const pool_job& job,
                                  const pool_task& task,
@@ -163,13 +169,6 @@
   upstream.used.accelerators -= need.accelerators();
 }
 
-// When the job must start to meet its objective, or its caller at least.
-static unix_ms latest_start_ms(const pool_job& job) {
-  unix_ms by_ms =
-      job.late ? job.deadline_ms : std::min(job.aim_ms, job.deadline_ms);
-  return by_ms - job.request.estimate_ms();
-}
-
 void sort_out_late(pool& pool, unix_ms now) {
   std::vector<queue_key> late;
   for (const queue_key& key : pool.queue) {
@@ -214,6 +213,24 @@
       pool.queue.erase(key);
     room.measure();
   }
+  refuse_hopeless(pool, now, out);
+}
+
+// Fills `queued` of each service's room.
+static void add_queued_work(const pool& pool,
+                            std::map<std::string, wire::service_room>& rooms) {
+  std::map<std::pair<std::string, uint32_t>, int64_t> work;
+  for (const queue_key& key : pool.queue) {
+    const pool_job& job = pool.jobs.at(std::get<pool_job_id>(key));
+    if (!job.late)
+      work[{job.request.service(), job.request.priority()}] +=
+          static_cast<int64_t>(queued_work_of(job));
+  }
+  for (const auto& [key, amount] : work) {
+    wire::queued_work& queued = *rooms[key.first].add_queued();
+    queued.set_priority(key.second);
+    queued.set_cpu_milli_ms(amount);
+  }
 }
 
 wire::pool_state describe_pool(const pool& pool, unix_ms now) {
@@ -231,17 +248,10 @@
     room.set_total_cpu_milli(room.total_cpu_milli() +
                              upstream.info.capacity().cpu_milli());
   }
-  for (const queue_key& key : pool.queue) {
-    const pool_job& job = pool.jobs.at(std::get<pool_job_id>(key));
-    auto queued =
-        std::count_if(job.tasks.begin(), job.tasks.end(),
-                      [](const auto& item) { return item.second.queued; });
-    wire::service_room& room = rooms[job.request.service()];
-    room.set_queued_cpu_milli_ms(room.queued_cpu_milli_ms() +
-                                 queued * job.request.need().cpu_milli() *
-                                     job.request.estimate_ms());
-  }
+  add_queued_work(pool, rooms);
   for (auto& [service, room] : rooms) {
+    room.set_overloaded(
+        is_overloaded(pool, service, room.total_cpu_milli(), now));
     room.set_service(service);
     *described.add_services() = std::move(room);
   }
--- a/cyclamenwood/pool_progress.cc
+++ b/cyclamenwood/pool_progress.cc
@@ -42,7 +42,8 @@
 }
 
 bool stands_still(const pool_job& job, const leased_run& run, unix_ms now) {
-  int64_t patience = std::max(STANDING_MS, usual_length_ms(job) / STANDING_SHARE);
+  int64_t patience =
+      std::max(STANDING_MS, usual_length_ms(job) / STANDING_SHARE);
   return run.percent < ALMOST_DONE_PERCENT &&
          now - run.percent_since_ms >= patience;
 }
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -565,6 +565,7 @@
   pool.queue.clear();
   pool.placed.clear();
   pool.found_ends.clear();
+  pool.released.clear();
   pool.peers.clear();
   for (auto& [id, upstream] : pool.upstreams) {
     wire::upstream info = upstream.info;
@@ -579,6 +580,7 @@
   // Jobs expire, and rests of upstreams end, by time.
   pool.may_place = true;
   sort_out_late(pool, now);
+  forget_released(pool, now);
   std::vector<std::string> forgotten;
   for (auto& [id, upstream] : pool.upstreams) {
     if (!upstream.reachable && now >= upstream.leases_over_ms)
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -264,30 +264,65 @@
   EXPECT_TRUE(out.messages.empty());
 }
 
+// Load: more than the room for longer than the caller waits. It hears at once,
+// and when the queue will be done.
+TEST_F(intake_fixture, a_job_that_would_wait_too_long_is_refused_on_arrival) {
+  for (const char* zone : {"kranj", "vic"}) {
+    wire::pool_state told;
+    told.set_zone(zone);
+    told.set_token(zone == std::string("kranj") ? 1 : 2);
+    wire::service_room& room = *told.add_services();
+    room.set_service("fit-desk");
+    room.set_total_cpu_milli(4000);
+    wire::queued_work& queued = *room.add_queued();
+    queued.set_cpu_milli_ms(4000 * 2500);
+    hear_pool(state, told, now, out);
+  }
+  submit(1, "a", make_job(1, 100), 2000);
+  ASSERT_EQ(out.answers.size(), 1U);
+  EXPECT_EQ(out.answers[0].outcome, caller_outcome::refused);
+  EXPECT_EQ(out.answers[0].retry_after_ms, 2500);
+  EXPECT_TRUE(requests("e1").empty());
+  // One that waits longer is served.
+  submit(2, "b", make_job(1, 100), 5000);
+  EXPECT_EQ(out.answers.size(), 1U);
+}
+
 TEST(zone_choice, pieces_smaller_than_the_task_are_no_room) {
   zone_rooms rooms;
   rooms["own"].free_cpu_milli = {600, 600, 600};
   rooms["own"].total_cpu_milli = 3000;
   rooms["other"].free_cpu_milli = {1000};
   rooms["other"].total_cpu_milli = 3000;
-  std::vector<std::string> zones = choose_zones(rooms, "own", {1000, 100}, 1);
-  EXPECT_EQ(zones, std::vector<std::string>{"other"});
+  zone_plan plan = choose_zones(rooms, "own", {1000, 100}, 1);
+  EXPECT_EQ(plan.zones, std::vector<std::string>{"other"});
+  EXPECT_EQ(plan.wait_ms, 0);
 }
 
 TEST(zone_choice, without_room_the_shortest_queue_is_taken) {
   zone_rooms rooms;
-  rooms["own"] = {{}, 500'000, 1000};
-  rooms["other"] = {{}, 100'000, 1000};
-  std::vector<std::string> zones = choose_zones(rooms, "own", {1000, 200}, 3);
+  rooms["own"] = {{}, {{0, 500'000}}, 1000, false};
+  rooms["other"] = {{}, {{0, 100'000}}, 1000, false};
+  zone_plan plan = choose_zones(rooms, "own", {1000, 200}, 3);
   // 100 ms of queue, then 300 ms, then as much as in the own zone.
-  EXPECT_EQ(zones, (std::vector<std::string>{"other", "other", "own"}));
-  zones = choose_zones(rooms, "own", {1000, 200}, 1);
-  EXPECT_EQ(zones, std::vector<std::string>{"other"});
+  EXPECT_EQ(plan.zones, (std::vector<std::string>{"other", "other", "own"}));
+  EXPECT_EQ(plan.wait_ms, 500);
+  plan = choose_zones(rooms, "own", {1000, 200}, 1);
+  EXPECT_EQ(plan.zones, std::vector<std::string>{"other"});
+}
+
+TEST(zone_choice, only_what_goes_before_a_task_makes_it_wait) {
+  zone_rooms rooms;
+  rooms["own"] = {{}, {{0, 100'000}, {1, 700'000}}, 1000, true};
+  EXPECT_EQ(choose_zones(rooms, "own", {1000, 10, 0}, 1).wait_ms, 100);
+  zone_plan behind = choose_zones(rooms, "own", {1000, 10, 1}, 1);
+  EXPECT_EQ(behind.wait_ms, 810);
+  EXPECT_TRUE(behind.overloaded);
 }
 
 TEST(zone_choice, nothing_known_gives_nothing) {
   zone_rooms rooms;
-  EXPECT_TRUE(choose_zones(rooms, "own", {1000, 100}, 2).empty());
+  EXPECT_TRUE(choose_zones(rooms, "own", {1000, 100}, 2).zones.empty());
 }
 
 TEST(route_table, the_longest_prefix_of_the_host_wins) {
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -585,5 +585,75 @@
   EXPECT_FALSE(state.upstreams.at("u1").on_probation);
 }
 
+// Messages that took different ways: nothing may start after the release, or a
+// refusal that the caller has would not be true.
+TEST_F(pool_fixture, a_request_overtaken_by_its_release_starts_nothing) {
+  fake_upstream& upstream = add_upstream("u1");
+  own(1);
+  run_until(now + 20);
+  hear_peer(state, "e1", 1, now, now, out);
+  release_runs(state, 7, now, out);
+  ask(request(7, "j1", 1));
+  run_until(now + 300);
+  EXPECT_EQ(upstream.starts(), 0U);
+  ask(request(8, "j1", 1));
+  run_until(now + 300);
+  EXPECT_EQ(upstream.starts(), 1U);
+}
+
+// An entry host that stood still lost its jobs here, and may ask for them
+// again.
+TEST_F(pool_fixture, a_host_that_stood_still_may_ask_again) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(5000);
+  own(1);
+  run_until(now + 20);
+  wire::run_request wanted = request(7, "j1", 1);
+  wanted.set_estimate_ms(5000);
+  wanted.set_remaining_ms(20000);
+  ask(wanted);
+  keep_peers = false;
+  run_until(now + PEER_SILENCE_MS + 200);
+  keep_peers = true;
+  EXPECT_TRUE(upstream.runs().empty());
+  ask(wanted);
+  run_until(now + 100);
+  EXPECT_EQ(upstream.runs().size(), 1U);
+}
+
+// Load: twice the room arrives for seconds. Those who are refused hear it on
+// arrival; of the room, most goes to jobs that end within their objective.
+TEST_F(pool_fixture, under_overload_callers_are_refused_on_arrival) {
+  for (const char* id : {"u1", "u2", "u3", "u4"})
+    add_upstream(id, 2000);
+  own(1);
+  run_until(now + 20);
+  std::map<uint64_t, unix_ms> asked;
+  uint64_t next = 1;
+  unix_ms end = now + 4000;
+  while (now < end) {
+    // 8 places, each 100 ms: 80 tasks a second fit, 160 come.
+    wire::run_request wanted = request(next, "j" + std::to_string(next), 1);
+    wanted.set_aim_ms(2 * RUN_MS + 20);
+    wanted.set_remaining_ms(1500);
+    asked[next++] = now;
+    ask(wanted);
+    run_until(now + STEP_MS);
+    if (now % 20 == 0)
+      continue;
+    run_until(now + STEP_MS / 5);
+  }
+  run_until(now + 2000);
+  size_t done = count(wire::RUN_DONE);
+  size_t refused = count(wire::RUN_EXPIRED);
+  EXPECT_EQ(done + refused, next - 1);
+  // Of the 320 tasks that fit into the 4 s at least three quarters are served.
+  EXPECT_GE(done, 240U);
+  for (const auto& [host, result] : reported) {
+    bool refused = result.outcome() == wire::RUN_EXPIRED;
+    EXPECT_FALSE(refused && result.started());
+  }
+}
+
 }  // namespace
 }  // namespace cyclamenwood
--- a/cyclamenwood/zone_choice.cc
+++ b/cyclamenwood/zone_choice.cc
@@ -29,8 +29,14 @@
   return true;
 }
 
-int64_t wait_ms(const zone_room& room) {
-  return room.queued_cpu_milli_ms / std::max<int64_t>(room.total_cpu_milli, 1);
+// Until the queued work that goes before the priority is done.
+int64_t wait_ms(const zone_room& room, uint32_t priority) {
+  int64_t ahead = 0;
+  for (const auto& [queued_priority, work] : room.queued) {
+    if (queued_priority <= priority)
+      ahead += work;
+  }
+  return ahead / std::max<int64_t>(room.total_cpu_milli, 1);
 }
 
 const std::string& choose_zone(const zone_rooms& rooms,
@@ -45,10 +51,9 @@
     if (places(zone->second, load.cpu_milli) >
         places(most->second, load.cpu_milli))
       most = zone;
-    bool sooner =
-        wait_ms(zone->second) < wait_ms(soonest->second) ||
-        (wait_ms(zone->second) == wait_ms(soonest->second) && zone == own);
-    if (sooner)
+    int64_t wait = wait_ms(zone->second, load.priority);
+    int64_t shortest = wait_ms(soonest->second, load.priority);
+    if (wait < shortest || (wait == shortest && zone == own))
       soonest = zone;
   }
   return places(most->second, load.cpu_milli) > 0 ? most->first
@@ -61,26 +66,31 @@
   zone_room read;
   read.free_cpu_milli.assign(room.free_cpu_milli().begin(),
                              room.free_cpu_milli().end());
-  read.queued_cpu_milli_ms = room.queued_cpu_milli_ms();
+  for (const wire::queued_work& queued : room.queued())
+    read.queued[queued.priority()] = queued.cpu_milli_ms();
   read.total_cpu_milli = room.total_cpu_milli();
+  read.overloaded = room.overloaded();
   return read;
 }
 
-std::vector<std::string> choose_zones(zone_rooms& rooms,
-                                      const std::string& own_zone,
-                                      const task_load& load,
-                                      size_t count) {
-  std::vector<std::string> chosen;
+zone_plan choose_zones(zone_rooms& rooms,
+                       const std::string& own_zone,
+                       const task_load& load,
+                       size_t count) {
+  zone_plan plan;
   if (rooms.empty())
-    return chosen;
+    return plan;
   for (size_t task = 0; task < count; ++task) {
     const std::string& zone = choose_zone(rooms, own_zone, load);
     zone_room& room = rooms.at(zone);
-    if (!take_place(room, load.cpu_milli))
-      room.queued_cpu_milli_ms += load.cpu_milli * load.estimate_ms;
-    chosen.push_back(zone);
+    if (!take_place(room, load.cpu_milli)) {
+      plan.wait_ms = std::max(plan.wait_ms, wait_ms(room, load.priority));
+      plan.overloaded = plan.overloaded || room.overloaded;
+      room.queued[load.priority] += load.cpu_milli * load.estimate_ms;
+    }
+    plan.zones.push_back(zone);
   }
-  return chosen;
+  return plan;
 }
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/zone_choice.h
+++ b/cyclamenwood/zone_choice.h
@@ -4,6 +4,9 @@
 // with the most room. Where none has, the task goes where the queued work is
 // over first. So the tasks of a wide step may run in several zones.
 //
+// The plan says how long the last task would wait, so that what can't be served
+// in time can be refused on arrival.
+//
 // Answers load that is uneven over the zones, and jobs that are wider than one
 // zone's free room.
 #ifndef CYCLAMENWOOD_ZONE_CHOICE_H_
@@ -22,8 +25,11 @@
 // the owner said last, less what this entry host has sent there since.
 struct zone_room {
   std::vector<int64_t> free_cpu_milli;
-  int64_t queued_cpu_milli_ms = 0;
+  // Processor room (thousandths) times estimated time (ms), by priority.
+  std::map<uint32_t, int64_t> queued;
   int64_t total_cpu_milli = 0;
+  // More work arrives there than the room can do.
+  bool overloaded = false;
 };
 
 using zone_rooms = std::map<std::string, zone_room>;
@@ -34,14 +40,24 @@
 struct task_load {
   int64_t cpu_milli = 0;
   int64_t estimate_ms = 0;
+  // 0 goes first.
+  uint32_t priority = 0;
+};
+
+struct zone_plan {
+  // For each task; empty when no room is known.
+  std::vector<std::string> zones;
+  // Until the last of the tasks may start.
+  int64_t wait_ms = 0;
+  // A task must wait in a zone that has more work than it can do.
+  bool overloaded = false;
 };
 
-// Zones for `count` equal tasks, in order; empty when `rooms` is. What they
-// take is subtracted from `rooms`.
-std::vector<std::string> choose_zones(zone_rooms& rooms,
-                                      const std::string& own_zone,
-                                      const task_load& load,
-                                      size_t count);
+// What the tasks take is subtracted from `rooms`.
+zone_plan choose_zones(zone_rooms& rooms,
+                       const std::string& own_zone,
+                       const task_load& load,
+                       size_t count);
 
 }  // namespace cyclamenwood
 
