Bounded log, metrics page, configuration among entry hosts, five voters

Each log line was a write of its own by the deciding thread, which waits when the reader does. There were no metrics. An entry host that was started again while no replica could be reached served nothing, though others knew the configuration. Three voters stayed three where two hosts with a disk may be lost at a time.

Change: log lines go into a buffer of 256 KB that the event loop writes before it waits, as far as the reader takes them; 500 lines a second of an event; what is left out is counted and said. Entry hosts tell the next three by name what version they have and send it with the owners to those that lack it. Voters grow to 2n+1, five at most, of which a zone holds a minority. The HTTP servers' housekeeping runs each second, not four times.

Ruled out: serving from a replica's own log before an election: what it holds may never have been committed.

Tests: log.*, exposition.*, control_fixture.voters_grow_to_five_spread_over_zones, host_entry.a_restarted_host_learns_what_is_in_force_from_another.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -16,6 +16,7 @@
 
 #include "cyclamenwood/host_settings.h"
 #include "cyclamenwood/http_server.h"
+#include "cyclamenwood/metrics_page.h"
 #include "cyclamenwood/replica_runner.h"
 #include "cyclamenwood/route_table.h"
 #include "cyclamenwood/settings_watch.h"
@@ -34,7 +35,8 @@
             limits(),
             [this](const http_request& request) { on_request(request); },
             [this](uint64_t exchange) { paths_.erase(exchange); }),
-        runner_(loop_, options(), raft().heartbeat_interval_ms, {}),
+        metrics_(loop_, [this](exposition& seen) { refresh(seen); }),
+        runner_(loop_, options(), raft(settings).heartbeat_interval_ms, {}),
         watch_(loop_,
                path,
                [this](const host_settings& changed) {
@@ -53,7 +55,7 @@
     std::random_device device;
     uint64_t seed = uint64_t{device()} << 32 | device();
     replica_state state =
-        make_control_replica(settings_, options(), raft(),
+        make_control_replica(settings_, options(), raft(settings_),
                              value(contents).identity, seed, current_time());
     log_line(log_level::info, "started",
              fmt::format("name={} identity={:016x} rpc={}", settings_.name,
@@ -64,6 +66,8 @@
       return up;
     if (result<done> up = http_.listen(settings_.control); !ok(up))
       return up;
+    if (result<done> up = metrics_.listen(settings_.metrics); !ok(up))
+      return up;
     loop_.run();
     log_line(log_level::info, "stopped", "");
     return runner_.outcome();
@@ -76,8 +80,9 @@
 
   // Two heartbeats may be lost before an election; a vote waits for two syncs
   // of a slow disk.
-  static raft_options raft() {
+  static raft_options raft(const host_settings& settings) {
     raft_options options;
+    options.target_voters = target_voters(settings);
     options.election_timeout_ms = 500;
     options.heartbeat_interval_ms = 100;
     options.resend_timeout_ms = 250;
@@ -85,6 +90,12 @@
     return options;
   }
 
+  // Of so many that may be lost at a time a majority is left; five at most, as
+  // each further one makes every commit slower.
+  static int target_voters(const host_settings& settings) {
+    return std::clamp(2 * static_cast<int>(settings.tolerated_hosts) + 1, 3, 5);
+  }
+
   static replica_options options() {
     replica_options options;
     options.snapshot_min_entries = 256;
@@ -198,7 +209,24 @@
     }
   }
 
+  // What is as of now.
+  void refresh(exposition& seen) {
+    const replica_state& state = runner_.state();
+    const raft_group& raft = state.groups.begin()->second.raft;
+    seen.set("raft_term", "", static_cast<double>(raft.term));
+    seen.set("raft_leads", "", raft.role == raft_role::leader ? 1 : 0);
+    seen.set("raft_voters", "", raft.members.voters_size());
+    seen.set("raft_commit_index", "", static_cast<double>(raft.commit_index));
+    seen.set("upstreams_heard", "",
+             static_cast<double>(state.control->directory.records.size()));
+    seen.set("entry_hosts_heard", "",
+             static_cast<double>(state.control->entry_hosts.size()));
+  }
+
   void on_answer(const replica_operator_answer& answer) {
+    metrics_.seen().count(
+        "operator_answers_total",
+        fmt::format("outcome=\"{}\"", to_string(answer.outcome)));
     auto found = paths_.find(answer.exchange);
     if (found == paths_.end())
       return;
@@ -211,6 +239,7 @@
   event_loop loop_;
   host_settings settings_;
   http_server http_;
+  metrics_page metrics_;
   replica_runner runner_;
   settings_watch watch_;
   signal_watcher terminate_;
--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenwood {
@@ -16,6 +17,13 @@
 // its age.
 constexpr int64_t POOL_HELLO_INTERVAL_MS = 100;
 
+// Entry hosts tell each other what is in force; it matters when no replica is
+// in reach.
+constexpr int64_t PEER_HELLO_INTERVAL_MS = 1'000;
+// To this many of the others, the next by name: one that was started again is
+// reached unless as many before it are gone.
+constexpr size_t PEER_FANOUT = 3;
+
 struct host_outbox {
   host_effects effects;
   std::vector<wire::envelope> to_self;
@@ -89,6 +97,7 @@
     return;
   }
   state.callers.routes = std::move(value(table));
+  state.latest = latest;
   note(out, "config_in_force",
        fmt::format("version={} routes={}", latest.version(),
                    state.callers.routes->routes.size()));
@@ -116,6 +125,76 @@
   absorb(state, std::move(done), out);
 }
 
+// What a replica or another entry host says is in force.
+void take_grants(host_entry& state,
+                 const wire::control_news& news,
+                 unix_ms now,
+                 host_outbox& out) {
+  bool owner_changed = learn_grants(state.callers, news);
+  take_ownership(state, now, out);
+  if (!owner_changed)
+    return;
+  state.pool_hello_ms = now;
+  say_pool_hello(state, now, out);
+}
+
+void say_peer_hello(host_entry& state,
+                    const std::string& host,
+                    host_outbox& out) {
+  wire::envelope envelope;
+  envelope.mutable_peer_hello()->set_have_version(state.latest.version());
+  send(state, host, std::move(envelope), out);
+}
+
+// Greets the next few of the other entry hosts.
+void say_peer_hellos(host_entry& state, unix_ms now, host_outbox& out) {
+  if (now < state.peer_hello_ms || state.entry_hosts.empty())
+    return;
+  state.peer_hello_ms = now + PEER_HELLO_INTERVAL_MS;
+  auto next = state.entry_hosts.upper_bound(state.settings.rpc);
+  size_t greeted = std::min(PEER_FANOUT, state.entry_hosts.size() - 1);
+  while (greeted > 0) {
+    if (next == state.entry_hosts.end())
+      next = state.entry_hosts.begin();
+    if (*next != state.settings.rpc) {
+      say_peer_hello(state, *next, out);
+      --greeted;
+    }
+    ++next;
+  }
+}
+
+// Sends what the other has not, or asks it for what is missing here.
+void answer_peer_hello(host_entry& state,
+                       const wire::envelope& envelope,
+                       host_outbox& out) {
+  uint64_t theirs = envelope.peer_hello().have_version();
+  if (theirs > state.latest.version())
+    say_peer_hello(state, envelope.from(), out);
+  if (theirs >= state.latest.version())
+    return;
+  wire::envelope news;
+  *news.mutable_peer_news()->mutable_latest() = state.latest;
+  for (const auto& [zone, grant] : state.callers.grants)
+    *news.mutable_peer_news()->add_grants() = grant;
+  send(state, envelope.from(), std::move(news), out);
+}
+
+void take_peer_news(host_entry& state,
+                    const wire::peer_news& told,
+                    unix_ms now,
+                    host_outbox& out) {
+  take_config(state, told.latest(), out);
+  wire::control_news news;
+  *news.mutable_grants() = told.grants();
+  take_grants(state, news, now, out);
+}
+
+void take_peer_list(host_entry& state, const wire::peer_list& list) {
+  state.entry_hosts = {list.entry_hosts().begin(), list.entry_hosts().end()};
+  state.entry_hosts.insert(state.settings.rpc);
+}
+
 void take_news(host_entry& state,
                unix_ms now,
                const wire::envelope& envelope,
@@ -132,12 +211,7 @@
   for (const wire::upstream& upstream : news.upstreams())
     learn_upstream(state.upstreams, upstream, now, learned);
   absorb(state, std::move(learned), out);
-  bool owner_changed = learn_grants(state.callers, news);
-  take_ownership(state, now, out);
-  if (owner_changed) {
-    state.pool_hello_ms = now;
-    say_pool_hello(state, now, out);
-  }
+  take_grants(state, news, now, out);
 }
 
 // ---- Messages ---------------------------------------------------------------
@@ -188,6 +262,15 @@
     case wire::envelope::kPoolState:
       hear_pool(state.callers, envelope.pool_state(), now, taken);
       break;
+    case wire::envelope::kPeerHello:
+      answer_peer_hello(state, envelope, out);
+      break;
+    case wire::envelope::kPeerNews:
+      take_peer_news(state, envelope.peer_news(), now, out);
+      break;
+    case wire::envelope::kPeerList:
+      take_peer_list(state, envelope.peer_list());
+      break;
     default:
       break;
   }
@@ -217,6 +300,7 @@
 void on_event(host_entry& state, const host_tick& event, host_outbox& out) {
   say_hello(state, event.now, out);
   say_pool_hello(state, event.now, out);
+  say_peer_hellos(state, event.now, out);
   pool_output pooled;
   tick_pool(state.upstreams, event.now, pooled);
   absorb(state, std::move(pooled), out);
--- a/cyclamenwood/host_entry.h
+++ b/cyclamenwood/host_entry.h
@@ -107,6 +107,11 @@
   intake callers;
   cyclamenwood::pool upstreams;
   std::map<std::string, known_replica> replicas;
+  // All entry hosts, as a replica told last.
+  std::set<std::string> entry_hosts;
+  // The configuration in force, for other entry hosts.
+  wire::roll_out latest;
+  unix_ms peer_hello_ms = 0;
   unix_ms hello_ms = 0;
   unix_ms pool_hello_ms = 0;
   bool draining = false;
--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -17,6 +17,7 @@
 #include "cyclamenwood/host_entry.h"
 #include "cyclamenwood/http_server.h"
 #include "cyclamenwood/loop.h"
+#include "cyclamenwood/metrics_page.h"
 #include "cyclamenwood/rpc.h"
 #include "cyclamenwood/settings_watch.h"
 #include "cyclamenwood/util/log.h"
@@ -41,11 +42,16 @@
             limits(),
             [this](const http_request& request) { on_readiness(request); },
             [](uint64_t /*exchange*/) {}),
-        upstreams_(loop_,
-                   [this](uint64_t order, order_reply reply) {
-                     handle(host_order_replied{current_time(), order,
-                                               std::move(reply)});
-                   }),
+        metrics_(loop_, [this](exposition& seen) { refresh(seen); }),
+        upstreams_(
+            loop_,
+            [this](uint64_t order, order_reply reply) {
+              metrics_.seen().count(
+                  "order_replies_total",
+                  fmt::format("outcome=\"{}\"", to_string(reply.outcome)));
+              handle(
+                  host_order_replied{current_time(), order, std::move(reply)});
+            }),
         rpc_({},
              [this](wire::envelope envelope) {
                loop_.post([this, envelope = std::move(envelope)] {
@@ -73,6 +79,8 @@
       return up;
     if (result<done> up = readiness_.listen(settings.readiness); !ok(up))
       return up;
+    if (result<done> up = metrics_.listen(settings.metrics); !ok(up))
+      return up;
     log_line(
         log_level::info, "started",
         fmt::format("name={} zone={} rpc={} incarnation={:016x}", settings.name,
@@ -149,6 +157,15 @@
   }
 
   void execute(const caller_answer& effect) {
+    metrics_.seen().count(
+        "answers_total",
+        fmt::format("outcome=\"{}\"", to_string(effect.outcome)));
+    if (!effect.queue.empty())
+      metrics_.seen().observe_ms(
+          "job_duration_ms",
+          fmt::format("queue=\"{}\",outcome=\"{}\"", effect.queue,
+                      to_string(effect.outcome)),
+          effect.elapsed_ms);
     callers_.respond(effect.exchange, Adapter::write_answer(effect));
   }
 
@@ -163,13 +180,39 @@
     rpc_.send(effect.host, effect.envelope);
   }
 
+  // What is as of now.
+  void refresh(exposition& seen) {
+    const intake& callers = state_.callers;
+    const pool& pool = state_.upstreams;
+    seen.set("config_version", "",
+             callers.routes ? static_cast<double>(callers.routes->version) : 0);
+    seen.set("open_jobs", "", static_cast<double>(callers.jobs.size()));
+    seen.set("draining", "", state_.draining ? 1 : 0);
+    seen.set("owner_token", "", static_cast<double>(pool.token));
+    seen.set("pool_jobs", "", static_cast<double>(pool.jobs.size()));
+    seen.set("pool_queued_jobs", "", static_cast<double>(pool.queue.size()));
+    seen.set("pool_runs", "", static_cast<double>(pool.placed.size()));
+    seen.set("pool_upstreams", "", static_cast<double>(pool.upstreams.size()));
+    for (const auto& [zone, known] : callers.pools)
+      seen.set("owner_age_ms", fmt::format("zone=\"{}\"", zone),
+               static_cast<double>(current_time() - known.heard_ms));
+    rpc_counts sent = rpc_.counts();
+    seen.set("rpc_sent_messages", "", static_cast<double>(sent.sent_messages));
+    seen.set("rpc_sent_bytes", "", static_cast<double>(sent.sent_bytes));
+    seen.set("rpc_dropped_messages", "",
+             static_cast<double>(sent.dropped_messages));
+  }
+
   void execute(const host_note& effect) {
+    metrics_.seen().count("events_total",
+                          fmt::format("event=\"{}\"", effect.event));
     log_line(log_level::info, effect.event, effect.details);
   }
 
   event_loop loop_;
   http_server callers_;
   http_server readiness_;
+  metrics_page metrics_;
   typename Adapter::upstream_client upstreams_;
   rpc_node rpc_;
   host_entry state_;
--- a/cyclamenwood/host_settings.cc
+++ b/cyclamenwood/host_settings.cc
@@ -57,11 +57,14 @@
   parsed.callers = reader.text("callers", 0, MAX_TEXT_BYTES, "");
   parsed.readiness = reader.text("readiness", 0, MAX_TEXT_BYTES, "");
   parsed.control = reader.text("control", 0, MAX_TEXT_BYTES, "");
+  parsed.metrics = reader.text("metrics", 0, MAX_TEXT_BYTES, "");
   parsed.seeds = read_seeds(reader, rpc_port);
   parsed.bootstrap = reader.boolean("bootstrap", false);
   parsed.data_folder = reader.text("data_folder", 0, MAX_TEXT_BYTES, "");
   parsed.run_lease_ms =
       reader.integer("run_lease_ms", 1, MAX_SPAN_MS, parsed.run_lease_ms);
+  parsed.tolerated_hosts =
+      reader.integer("tolerated_hosts", 0, 100, parsed.tolerated_hosts);
   const nlohmann::json* grace = reader.member("stop_grace_s");
   if (grace != nullptr && grace->is_number() && *grace > 0)
     parsed.stop_grace_ms =
--- a/cyclamenwood/host_settings.h
+++ b/cyclamenwood/host_settings.h
@@ -25,6 +25,7 @@
   std::string callers;
   std::string readiness;
   std::string control;
+  std::string metrics;
   // For the project's own processes; also this process's name among them.
   std::string rpc;
   // `rpc` addresses of replicas that existed when the file was written.
@@ -34,6 +35,8 @@
   std::string data_folder;
   // Longest lease that an upstream grants to its runs.
   int64_t run_lease_ms = 1000;
+  // Hosts with a disk that may be lost at a time.
+  int64_t tolerated_hosts = 1;
   // Longest time between a request to stop and the end of the process.
   int64_t stop_grace_ms = 6000;
 };
--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -18,7 +18,8 @@
 namespace cyclamenwood {
 namespace {
 
-constexpr int64_t HOUSEKEEPING_INTERVAL_MS = 250;
+// Closes connections that were idle for too long; their limit is 30 s.
+constexpr int64_t HOUSEKEEPING_INTERVAL_MS = 1'000;
 // A request takes a few runs; more in a row would keep the loop from others.
 constexpr int MAX_RUNS_A_TURN = 16;
 // Never seen by anyone: the connection is closed already.
@@ -111,9 +112,13 @@
     MHD_Response* response = MHD_create_response_from_buffer(
         answer.body.size(), const_cast<char*>(answer.body.data()),
         MHD_RESPMEM_MUST_COPY);
-    MHD_add_response_header(response, "Content-Type", "application/json");
-    for (const auto& [name, text] : answer.headers)
+    bool is_json = true;
+    for (const auto& [name, text] : answer.headers) {
       MHD_add_response_header(response, name.c_str(), text.c_str());
+      is_json = is_json && name != "Content-Type";
+    }
+    if (is_json)
+      MHD_add_response_header(response, "Content-Type", "application/json");
     if (closing)
       MHD_add_response_header(response, "Connection", "close");
     MHD_Result queued =
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -59,9 +59,11 @@
 void answer_job(intake_output& out,
                 const intake_job& job,
                 caller_outcome outcome,
-                int64_t retry_after_ms = 0) {
+                int64_t retry_after_ms,
+                unix_ms now) {
   for (uint64_t exchange : job.exchanges)
-    out.answers.push_back({exchange, outcome, retry_after_ms, 0});
+    out.answers.push_back({exchange, outcome, retry_after_ms, 0, job.queue.name,
+                           now - job.arrived_ms});
 }
 
 // Ends a job: its owner may forget it.
@@ -99,7 +101,8 @@
   answer_job(out, job, outcome,
              outcome == caller_outcome::refused
                  ? std::max(wait_ms, MIN_RETRY_AFTER_MS)
-                 : 0);
+                 : 0,
+             now);
   out.notes.push_back(
       {"job_ended",
        fmt::format("job={} queue={} outcome={} reason={} ms={} wait_ms={} "
@@ -301,7 +304,7 @@
             std::string_view reason) {
   int64_t retry_after =
       outcome == caller_outcome::refused ? MIN_RETRY_AFTER_MS : 0;
-  out.answers.push_back({call.exchange, outcome, retry_after, 0});
+  out.answers.push_back({call.exchange, outcome, retry_after, 0, {}, 0});
   out.notes.push_back(
       {"call_refused",
        fmt::format("host={} path={} outcome={} reason={}", call.host, call.path,
@@ -405,17 +408,18 @@
     return;
   }
   if (call.kind == call_kind::show && target.id.empty()) {
-    out.answers.push_back({call.exchange, caller_outcome::count, 0, 0});
+    out.answers.push_back({call.exchange, caller_outcome::count, 0, 0, {}, 0});
     return;
   }
   auto known = intake.by_id.find(target.id);
   if (call.kind == call_kind::show || known == intake.by_id.end()) {
-    out.answers.push_back({call.exchange, caller_outcome::no_job, 0, 0});
+    out.answers.push_back({call.exchange, caller_outcome::no_job, 0, 0, {}, 0});
     return;
   }
   end_job(intake, known->second, caller_outcome::cancelled, "cancelled", now,
           out);
-  out.answers.push_back({call.exchange, caller_outcome::cancelled, 0, 0});
+  out.answers.push_back(
+      {call.exchange, caller_outcome::cancelled, 0, 0, {}, 0});
 }
 
 void caller_left(intake& intake, uint64_t exchange, intake_output& out) {
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -89,6 +89,9 @@
   // When a refused caller may come back.
   int64_t retry_after_ms = 0;
   int64_t pending = 0;
+  // Of jobs: their queue, and the time since they arrived here.
+  std::string queue;
+  int64_t elapsed_ms = 0;
 };
 
 struct intake_task {
--- a/cyclamenwood/loop.cc
+++ b/cyclamenwood/loop.cc
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <utility>
 
+#include "cyclamenwood/util/log.h"
+
 namespace cyclamenwood {
 namespace {
 
@@ -42,10 +44,19 @@
   ev_async_init(&async_, on_async);
   async_.data = this;
   ev_async_start(loop_, &async_);
+  ev_prepare_init(&prepare_, on_prepare);
+  ev_prepare_start(loop_, &prepare_);
+}
+
+void event_loop::on_prepare(struct ev_loop* /*loop*/,
+                            ev_prepare* /*watcher*/,
+                            int /*events*/) {
+  flush_log();
 }
 
 event_loop::~event_loop() {
   ev_async_stop(loop_, &async_);
+  ev_prepare_stop(loop_, &prepare_);
   ev_loop_destroy(loop_);
 }
 
--- a/cyclamenwood/loop.h
+++ b/cyclamenwood/loop.h
@@ -47,10 +47,13 @@
 
  private:
   static void on_async(struct ev_loop* loop, ev_async* watcher, int events);
+  // Before each wait: lines of the turn go out together.
+  static void on_prepare(struct ev_loop* loop, ev_prepare* watcher, int events);
   void run_posted();
 
   struct ev_loop* loop_;
   ev_async async_{};
+  ev_prepare prepare_{};
   std::mutex mutex_;
   std::vector<std::function<void()>> posted_;
   std::function<void()> after_batch_;
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -28,6 +28,8 @@
   bool draining = false;
   unix_ms first_heard_ms = 0;
   unix_ms heard_ms = 0;
+  // When it was last told of the other entry hosts.
+  unix_ms told_hosts_ms = 0;
   uint64_t sent_version = 0;
   uint64_t sent_change = 0;
 };
--- a/cyclamenwood/pool_refuse.cc
+++ b/cyclamenwood/pool_refuse.cc
@@ -51,8 +51,8 @@
     return false;
   unix_ms start_ms = now + static_cast<int64_t>(std::min(wait_ms, 1e9));
   unix_ms last_ms = job.deadline_ms - job.request.estimate_ms();
-  return start_ms > (overloaded ? std::min(latest_start_ms(job), last_ms)
-                                : last_ms) ||
+  return start_ms >
+             (overloaded ? std::min(latest_start_ms(job), last_ms) : last_ms) ||
          (overloaded && job.late);
 }
 
--- a/cyclamenwood/raft.h
+++ b/cyclamenwood/raft.h
@@ -54,6 +54,8 @@
   // was silent for `replace_after_ms`. Otherwise only the hosts of the first
   // membership take part.
   bool open_membership = false;
+  // With open membership: voters are added up to this number.
+  int target_voters = 3;
   // Below the time after which a removed host no longer counts as lost.
   int64_t replace_after_ms = 2'500;
   // After this time a replacement is taken even where its availability zone
--- a/cyclamenwood/raft_members.cc
+++ b/cyclamenwood/raft_members.cc
@@ -77,14 +77,15 @@
   return quick && in_touch;
 }
 
-// Whether a voter other than `leaving` is in the zone of the host.
-bool has_voter_beside(const raft_group& group,
+// Voters other than `leaving` in the zone of the host; none when its zone is
+// not known.
+int64_t voters_beside(const raft_group& group,
                       const std::string& host,
                       uint64_t leaving) {
   auto zone = group.zones.find(host);
   if (zone == group.zones.end())
-    return false;
-  return std::any_of(
+    return 0;
+  return std::count_if(
       group.members.voters().begin(), group.members.voters().end(),
       [&](const wire::member& voter) {
         auto other = group.zones.find(voter.host());
@@ -93,6 +94,12 @@
       });
 }
 
+// Voters that one availability zone may hold, so that its loss leaves a
+// majority.
+int64_t max_voters_a_zone(const raft_group& group) {
+  return std::max((group.options.target_voters - 1) / 2, 1);
+}
+
 // The voter whose place the newcomer takes: its host's former replica, or one
 // that has been silent for long. An availability zone gets a second voter only
 // when there was no better replacement for a longer time.
@@ -109,7 +116,8 @@
         progress == group.progress.end())
       continue;
     int64_t silent_ms = now - progress->second.last_heard_ms;
-    bool crowded = has_voter_beside(group, host, voter.identity());
+    bool crowded = voters_beside(group, host, voter.identity()) >=
+                   max_voters_a_zone(group);
     int64_t allowed_ms = crowded ? group.options.replace_anywhere_after_ms
                                  : group.options.replace_after_ms;
     if (silent_ms > allowed_ms)
@@ -119,9 +127,13 @@
 }
 
 // Whether the newcomer may be added to the voters as they are.
-bool has_place_for(const raft_group& group) {
-  return !group.options.open_membership ||
-         group.members.voters_size() < group.initial_members.voters_size();
+bool has_place_for(const raft_group& group, const std::string& host) {
+  int voters = group.members.voters_size();
+  if (!group.options.open_membership ||
+      voters < group.initial_members.voters_size())
+    return true;
+  return voters < group.options.target_voters && group.zones.contains(host) &&
+         voters_beside(group, host, 0) < max_voters_a_zone(group);
 }
 
 wire::membership without(const wire::membership& members, uint64_t identity) {
@@ -161,7 +173,7 @@
                       out);
       return;
     }
-    if (!has_place_for(group))
+    if (!has_place_for(group, host))
       continue;
     wire::membership members = group.members;
     wire::member& added = *members.add_voters();
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -147,6 +147,9 @@
   unavailable,
 };
 
+// The name used in metrics.
+std::string_view to_string(operator_outcome outcome);
+
 // Answers an operator's request.
 struct replica_operator_answer {
   uint64_t exchange = 0;
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -26,6 +26,8 @@
 // Entry hosts say hello a few times a second.
 constexpr int64_t ENTRY_HOST_EXPIRY_MS = 5'000;
 constexpr int64_t PEERS_INTERVAL_MS = 1'000;
+// Entry hosts need the list of the others only when no replica is in reach.
+constexpr int64_t HOSTS_INTERVAL_MS = 1'000;
 
 void answer(outbox& out,
             uint64_t exchange,
@@ -113,6 +115,21 @@
   send(out, to, std::move(envelope));
 }
 
+void tell_entry_hosts(const replica_state& state,
+                      const std::string& to,
+                      known_entry_host& reader,
+                      unix_ms now,
+                      outbox& out) {
+  if (now < reader.told_hosts_ms + HOSTS_INTERVAL_MS)
+    return;
+  reader.told_hosts_ms = now;
+  wire::envelope envelope;
+  wire::peer_list& list = *envelope.mutable_peer_list();
+  for (const auto& [host, known] : state.control->entry_hosts)
+    list.add_entry_hosts(host);
+  send(out, to, std::move(envelope));
+}
+
 void propose_grants(replica_state& state,
                     replica_group& group,
                     unix_ms now,
@@ -163,6 +180,22 @@
 
 }  // namespace
 
+std::string_view to_string(operator_outcome outcome) {
+  switch (outcome) {
+    case operator_outcome::accepted:
+      return "accepted";
+    case operator_outcome::content:
+      return "content";
+    case operator_outcome::none:
+      return "none";
+    case operator_outcome::redirected:
+      return "redirected";
+    case operator_outcome::unavailable:
+      return "unavailable";
+  }
+  return "unavailable";
+}
+
 void add_peer(replica_state& state, const std::string& host) {
   bool known = host == state.host ||
                std::find(state.peers.begin(), state.peers.end(), host) !=
@@ -263,6 +296,7 @@
   host.sent_version = hello.have_version();
   host.sent_change = same_life ? hello.have_change() : 0;
   send_news(state, control_group(state), envelope.from(), host, out);
+  tell_entry_hosts(state, envelope.from(), host, now, out);
 }
 
 void receive_control_hello(replica_state& state,
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -159,14 +159,22 @@
   }
 
   void add(const std::string& host, bool founds) {
+    add(host, founds, "zone-of-" + host, 3);
+  }
+
+  void add(const std::string& host,
+           bool founds,
+           const std::string& zone,
+           int target_voters) {
     host_settings settings;
     settings.rpc = host;
-    settings.zone = "zone-of-" + host;
+    settings.zone = zone;
     settings.seeds = {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"};
     raft_options raft;
     raft.election_timeout_ms = 500;
     raft.heartbeat_interval_ms = 100;
     raft.open_membership = true;
+    raft.target_voters = target_voters;
     uint64_t identity = founds ? founding_identity(host) : 900 + hosts.size();
     hosts.emplace(host, make_control_replica(settings, {}, raft, identity,
                                              identity, now));
@@ -346,6 +354,31 @@
   EXPECT_EQ(group(leader()).raft.members.voters_size(), 3);
 }
 
+// Two hosts may be lost at a time: five vote, at most two of them in a zone, so
+// that the loss of two hosts or of a zone leaves a majority.
+TEST_F(control_fixture, voters_grow_to_five_spread_over_zones) {
+  hosts.clear();
+  for (const char* host : {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"})
+    add(host, true, std::string("zone-of-") + host, 5);
+  run_for(3000);
+  for (const char* host : {"10.0.0.4:7", "10.0.0.5:7", "10.0.0.6:7"})
+    add(host, false, "zone-of-10.0.0.1:7", 5);
+  run_for(8000);
+  EXPECT_EQ(group(leader()).raft.members.voters_size(), 4);
+  add("10.0.0.7:7", false, "zone-of-10.0.0.2:7", 5);
+  run_for(8000);
+  ASSERT_EQ(group(leader()).raft.members.voters_size(), 5);
+  feed(leader(), replica_config_offered{now, 1, make_config(4, "four")});
+  run_for(200);
+  cut.insert("10.0.0.7:7");
+  cut.insert("10.0.0.2:7");
+  run_for(3000);
+  ASSERT_FALSE(leader().empty());
+  feed(leader(), replica_config_wanted{now, 2});
+  run_for(200);
+  EXPECT_EQ(answers.at(2).content, "four");
+}
+
 TEST_F(control_fixture, upstreams_reach_their_zones_entry_hosts_only) {
   run_for(3000);
   hello("e1", "kranj");
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -386,5 +386,67 @@
   EXPECT_EQ(state.upstreams.token, 0U);
 }
 
+// No replica can be reached, and one entry host was started again: it learns
+// the configuration and the owners from another one, and never an older one.
+TEST(host_entry, a_restarted_host_learns_what_is_in_force_from_another) {
+  auto read = [](std::string_view content) {
+    route_table table;
+    table.version = std::stoull(std::string(content));
+    return result<route_table>(table);
+  };
+  host_settings settings;
+  settings.zone = "kranj";
+  std::map<std::string, host_entry> hosts;
+  for (const char* name : {"e1", "e2"}) {
+    settings.rpc = name;
+    hosts.emplace(name, make_host_entry(settings, 1, read));
+  }
+  unix_ms now = 1000;
+  auto deliver = [&](const std::string& to, const wire::envelope& envelope) {
+    std::vector<std::pair<std::string, wire::envelope>> inbox{{to, envelope}};
+    while (!inbox.empty()) {
+      auto [host, next] = inbox.back();
+      inbox.pop_back();
+      for (const host_effect& effect :
+           reduce(hosts.at(host), host_received{now, next})) {
+        const auto* sent = std::get_if<host_send>(&effect);
+        if (sent != nullptr && hosts.contains(sent->host))
+          inbox.emplace_back(sent->host, sent->envelope);
+      }
+    }
+  };
+  wire::envelope news;
+  news.set_from("r1");
+  news.mutable_control_news()->mutable_latest()->set_version(7);
+  news.mutable_control_news()->mutable_latest()->set_content("7");
+  wire::owner_grant& grant = *news.mutable_control_news()->add_grants();
+  grant.set_zone("vic");
+  grant.set_host("e9");
+  grant.set_token(3);
+  deliver("e1", news);
+  wire::envelope list;
+  list.set_from("r1");
+  for (const char* name : {"e1", "e2"})
+    list.mutable_peer_list()->add_entry_hosts(name);
+  deliver("e1", list);
+  EXPECT_FALSE(is_ready(hosts.at("e2")));
+  now += 1500;
+  for (const host_effect& effect : reduce(hosts.at("e1"), host_tick{now})) {
+    const auto* sent = std::get_if<host_send>(&effect);
+    if (sent != nullptr && sent->host == "e2")
+      deliver("e2", sent->envelope);
+  }
+  EXPECT_TRUE(is_ready(hosts.at("e2")));
+  EXPECT_EQ(hosts.at("e2").callers.routes->version, 7U);
+  EXPECT_EQ(hosts.at("e2").callers.grants.at("vic").host(), "e9");
+  // What is older is not taken up.
+  wire::envelope older;
+  older.set_from("e1");
+  older.mutable_peer_news()->mutable_latest()->set_version(5);
+  older.mutable_peer_news()->mutable_latest()->set_content("5");
+  deliver("e2", older);
+  EXPECT_EQ(hosts.at("e2").callers.routes->version, 7U);
+}
+
 }  // namespace
 }  // namespace cyclamenwood
--- a/cyclamenwood/util/log.cc
+++ b/cyclamenwood/util/log.cc
@@ -1,18 +1,28 @@
-// Each line is written by one call, so that lines of several threads do not
-// mix.
+// A pipe that can be written to has room for PIPE_BUF bytes, so that a write of
+// no more never waits; each is asked for first.
 #include "cyclamenwood/util/log.h"
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <limits.h>
+#include <poll.h>
+#include <unistd.h>
 
-#include <atomic>
+#include <algorithm>
 #include <chrono>
-#include <cstdio>
+#include <map>
+#include <mutex>
+#include <string>
 
 namespace cyclamenwood {
 namespace {
 
-std::atomic<log_level> current_level{log_level::info};
+// What a slow reader may leave; a tenth of a percent of a host's memory.
+constexpr size_t MAX_BUFFERED_BYTES = 256 << 10;
+// Of one event. An entry host answers fewer jobs a second.
+constexpr uint64_t MAX_LINES_A_SECOND = 500;
+
+using clock = std::chrono::system_clock;
 
 std::string_view level_name(log_level level) {
   switch (level) {
@@ -28,26 +38,131 @@
   return "info";
 }
 
+class line_buffer {
+ public:
+  ~line_buffer() { flush(); }
+
+  void set_level(log_level level) {
+    std::lock_guard lock(mutex_);
+    level_ = level;
+  }
+
+  void add(log_level level, std::string_view event, std::string_view details) {
+    std::lock_guard lock(mutex_);
+    if (level < level_)
+      return;
+    clock::time_point now = clock::now();
+    begin_second(now);
+    uint64_t& lines = lines_this_second_[std::string(event)];
+    if (++lines > MAX_LINES_A_SECOND) {
+      ++counts_.suppressed;
+      return;
+    }
+    append(now, level, event, details);
+    if (level >= log_level::warning)
+      write_out();
+  }
+
+  void flush() {
+    std::lock_guard lock(mutex_);
+    if (!text_.empty())
+      write_out();
+  }
+
+  log_counts counts() {
+    std::lock_guard lock(mutex_);
+    return counts_;
+  }
+
+ private:
+  // Says what the second before has cost.
+  void begin_second(clock::time_point now) {
+    auto second = std::chrono::floor<std::chrono::seconds>(now);
+    if (second == second_)
+      return;
+    second_ = second;
+    for (const auto& [event, lines] : lines_this_second_) {
+      if (lines > MAX_LINES_A_SECOND)
+        append(now, log_level::warning, "log_lines_suppressed",
+               fmt::format("event={} lines={}", event,
+                           lines - MAX_LINES_A_SECOND));
+    }
+    lines_this_second_.clear();
+    if (dropped_since_ == 0 || text_.size() > MAX_BUFFERED_BYTES / 2)
+      return;
+    append(now, log_level::warning, "log_lines_dropped",
+           fmt::format("lines={}", dropped_since_));
+    dropped_since_ = 0;
+  }
+
+  void append(clock::time_point now,
+              log_level level,
+              std::string_view event,
+              std::string_view details) {
+    auto since = now.time_since_epoch();
+    auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(since) % 1000;
+    std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}{}{}\n",
+                                   fmt::gmtime(clock::to_time_t(now)),
+                                   ms.count(), level_name(level), event,
+                                   details.empty() ? "" : " ", details);
+    if (text_.size() + line.size() > MAX_BUFFERED_BYTES) {
+      ++counts_.dropped;
+      ++dropped_since_;
+      return;
+    }
+    ++counts_.lines;
+    counts_.bytes += line.size();
+    text_ += line;
+  }
+
+  void write_out() {
+    size_t written = 0;
+    while (written < text_.size()) {
+      pollfd target{STDOUT_FILENO, POLLOUT, 0};
+      if (poll(&target, 1, 0) <= 0 || (target.revents & POLLOUT) == 0)
+        break;
+      size_t size = std::min<size_t>(text_.size() - written, PIPE_BUF);
+      ssize_t wrote = ::write(STDOUT_FILENO, text_.data() + written, size);
+      if (wrote <= 0)
+        break;
+      written += wrote;
+    }
+    text_.erase(0, written);
+  }
+
+  std::mutex mutex_;
+  log_level level_ = log_level::info;
+  std::string text_;
+  std::chrono::sys_seconds second_;
+  std::map<std::string, uint64_t> lines_this_second_;
+  uint64_t dropped_since_ = 0;
+  log_counts counts_;
+};
+
+line_buffer& buffer() {
+  static line_buffer all;
+  return all;
+}
+
 }  // namespace
 
 void set_log_level(log_level level) {
-  current_level = level;
+  buffer().set_level(level);
 }
 
 void log_line(log_level level,
               std::string_view event,
               std::string_view details) {
-  if (level < current_level.load())
-    return;
-  auto now = std::chrono::system_clock::now();
-  auto since = now.time_since_epoch();
-  auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(since) % 1000;
-  std::string line = fmt::format(
-      "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}{}{}\n",
-      fmt::gmtime(std::chrono::system_clock::to_time_t(now)), ms.count(),
-      level_name(level), event, details.empty() ? "" : " ", details);
-  std::fwrite(line.data(), 1, line.size(), stdout);
-  std::fflush(stdout);
+  buffer().add(level, event, details);
+}
+
+void flush_log() {
+  buffer().flush();
+}
+
+log_counts count_log() {
+  return buffer().counts();
 }
 
 }  // namespace cyclamenwood
