A new owner waits for upstreams that it has not heard of

An entry host that had started 0.05 s before became the owner of its zone knowing 15 of 16 upstreams: the replica that the sixteenth announced itself to had just been killed. All lists known to it were read, so it started a task that ran on the sixteenth.

Change: owners tell entry hosts the ids of their upstreams (when the list changes), and run tasks only where the asking entry host knows of the upstream. When the owner changes, entry hosts say which upstreams the former one had; a task that was asked for before waits until all of them are listed, its run is found, or the leases are over.

Ruled out: waiting for the leases after each change of owner (a second for every queued task); a hand-over message (the former owner may be dead).

Tests: pool_fixture.a_resumed_task_waits_for_upstreams_not_heard_of_yet (fails without the wait), an_upstream_takes_tasks_once_entry_hosts_know_of_it; the random runs now hear of upstreams late (they did not find this by themselves).

--- a/cyclamenwood/exposition.cc
+++ b/cyclamenwood/exposition.cc
@@ -41,7 +41,8 @@
   for (const auto& [name, by_labels] : all) {
     page += fmt::format("# TYPE cyclamenwood_{} {}\n", name, type);
     for (const auto& [labels, value] : by_labels)
-      page += fmt::format("cyclamenwood_{}{} {}\n", name, braced(labels), value);
+      page +=
+          fmt::format("cyclamenwood_{}{} {}\n", name, braced(labels), value);
   }
 }
 
@@ -74,7 +75,8 @@
   series<time_series> times;
 };
 
-exposition::exposition() : implementation_(std::make_unique<implementation>()) {}
+exposition::exposition()
+    : implementation_(std::make_unique<implementation>()) {}
 
 exposition::~exposition() = default;
 
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -255,8 +255,12 @@
   if (request.tasks().empty())
     return;
   request.set_resumed(job.zones.contains(zone));
-  if (const known_pool* pool = find_current(intake, zone))
+  if (const known_pool* pool = find_current(intake, zone)) {
     request.set_echo_ms(pool->clock_ms);
+    if (request.resumed())
+      *request.mutable_former_upstreams() = {pool->former_upstreams.begin(),
+                                             pool->former_upstreams.end()};
+  }
   ++intake.pools[zone].requests_sent;
   job.zones[zone] = grant->second.token();
   out.messages.emplace_back(grant->second.host(), std::move(envelope));
@@ -458,13 +462,20 @@
                intake_output& out) {
   known_pool& pool = intake.pools[state.zone()];
   bool is_new_owner = pool.token != state.token();
-  if (is_new_owner)
+  if (is_new_owner) {
+    std::vector<std::string> former = std::move(pool.upstreams);
     pool = {};
+    pool.former_upstreams = std::move(former);
+  }
   bool lost = state.requests_lost() || state.results() != pool.results_received;
   pool.token = state.token();
   pool.heard_ms = now;
   pool.clock_ms = state.clock_ms();
   pool.results_received = state.results();
+  if (state.upstreams_version() != pool.upstreams_version) {
+    pool.upstreams_version = state.upstreams_version();
+    pool.upstreams = {state.upstreams().begin(), state.upstreams().end()};
+  }
   pool.rooms.clear();
   for (const wire::service_room& room : state.services())
     pool.rooms[room.service()] = read_room(room);
@@ -479,6 +490,7 @@
   if (const known_pool* pool = find_current(intake, zone)) {
     hello.set_echo_ms(pool->clock_ms);
     hello.set_requests(pool->requests_sent);
+    hello.set_have_upstreams(pool->upstreams_version);
   }
   return hello;
 }
--- a/cyclamenwood/metrics_page.cc
+++ b/cyclamenwood/metrics_page.cc
@@ -38,9 +38,10 @@
   seen_.set("log_lines_dropped", "", static_cast<double>(logged.dropped));
   seen_.set("log_lines_suppressed", "", static_cast<double>(logged.suppressed));
   refresh_(seen_);
-  server_.respond(
-      request.exchange,
-      {STATUS_OK, seen_.text(), {{"Content-Type", "text/plain; version=0.0.4"}}});
+  server_.respond(request.exchange,
+                  {STATUS_OK,
+                   seen_.text(),
+                   {{"Content-Type", "text/plain; version=0.0.4"}}});
 }
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -85,6 +85,10 @@
   wire::upstream info;
   // Invariant: the sum of `need` over `runs`.
   room_sum used;
+  // The version of the list of upstreams that named it first. Tasks run only
+  // where their entry host knows that the owner has this upstream: if the owner
+  // is lost, the next one must look there.
+  uint64_t listed_since = 0;
   // A list was read under the current token.
   bool listed = false;
   // Upstream's clock less ours.
@@ -127,6 +131,8 @@
   wire::run_request request;
   unix_ms deadline_ms = 0;
   unix_ms aim_ms = 0;
+  // Where a former owner may have started its tasks.
+  std::vector<std::string> former_upstreams;
   // A task was ordered, so that one may have begun.
   bool started = false;
   // The objective can't be met any more.
@@ -148,6 +154,8 @@
   // were lost.
   uint64_t requests_received = 0;
   uint64_t results_sent = 0;
+  // The list of upstreams that it has.
+  uint64_t has_upstreams = 0;
 };
 
 // Order of service: those that can still meet their objective before those
@@ -177,6 +185,8 @@
   // Orders under way: the upstream and, but for holds, the task.
   std::map<uint64_t, run_order> orders;
   std::map<std::string, leased_upstream> upstreams;
+  // Rises when an upstream comes or goes.
+  uint64_t upstreams_version = 1;
   // Three failures in a row are a share of 0.49. Tasks come one by one to an
   // upstream, and each failure uses up an attempt of a job.
   health_table health{{}, {3, 0.45}, {}};
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -201,6 +201,8 @@
     job.deadline_ms = now + request.remaining_ms();
     job.aim_ms = now + request.aim_ms();
     job.started = request.resumed();
+    job.former_upstreams = {request.former_upstreams().begin(),
+                            request.former_upstreams().end()};
     count_load(pool, request, now);
   }
   for (uint32_t task : request.tasks()) {
@@ -252,6 +254,14 @@
   state.set_results(peer.results_sent);
   state.set_requests_lost(peer.requests_received != hello.requests());
   peer.requests_received = hello.requests();
+  pool.may_place =
+      pool.may_place || hello.have_upstreams() > peer.has_upstreams;
+  peer.has_upstreams = hello.have_upstreams();
+  state.set_upstreams_version(pool.upstreams_version);
+  if (hello.have_upstreams() == pool.upstreams_version)
+    return state;
+  for (const auto& [id, upstream] : pool.upstreams)
+    state.add_upstreams(id);
   return state;
 }
 
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -38,8 +38,15 @@
   if (!job.request.resumed() ||
       now > pool.owned_since_ms + pool.options.lease_ms + ADOPTION_MS)
     return false;
-  return std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
-                     [](const auto& item) { return !item.second.listed; });
+  bool unlisted =
+      std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
+                  [](const auto& item) { return !item.second.listed; });
+  // One that is not even known here has not been heard of yet.
+  return unlisted ||
+         std::any_of(job.former_upstreams.begin(), job.former_upstreams.end(),
+                     [&pool](const std::string& id) {
+                       return !pool.upstreams.contains(id);
+                     });
 }
 
 // Places what fits. Returns whether tasks of the job are still queued.
@@ -128,10 +135,12 @@
                                  const pool_task& task,
                                  unix_ms now) {
   const wire::run_request& request = job.request;
+  auto peer = pool.peers.find(job.from);
+  uint64_t known = peer == pool.peers.end() ? 0 : peer->second.has_upstreams;
   leased_upstream* best = nullptr;
   preference best_preference;
   for (auto& [id, upstream] : pool.upstreams) {
-    if (!may_take_work(upstream, now) ||
+    if (!may_take_work(upstream, now) || upstream.listed_since > known ||
         upstream.info.service() != request.service() ||
         !has_label(upstream.info, request.label()))
       continue;
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -152,6 +152,7 @@
   auto found = pool.upstreams.find(id);
   end_all_runs(pool, found->second, "other_incarnation", out);
   pool.upstreams.erase(found);
+  ++pool.upstreams_version;
 }
 
 void read_clock(leased_upstream& upstream, int64_t clock_ms, unix_ms now) {
@@ -536,6 +537,8 @@
     known.info.set_state(wire::UPSTREAM_LEAVING);
   health_of(pool.health, heard.id(), heard.service(), heard.zone(),
             heard.incarnation());
+  if (added)
+    known.listed_since = ++pool.upstreams_version;
   if (!added && !reborn)
     return;
   known.heard_ms = now;
@@ -569,8 +572,10 @@
   pool.peers.clear();
   for (auto& [id, upstream] : pool.upstreams) {
     wire::upstream info = upstream.info;
+    uint64_t listed_since = upstream.listed_since;
     upstream = {};
     upstream.info = std::move(info);
+    upstream.listed_since = listed_since;
   }
 }
 
@@ -595,13 +600,15 @@
       send_hold(pool, upstream, HOLD_WAIT_MS, now, out);
     tick_runs(pool, upstream, now, out);
   }
-  for (const std::string& id : forgotten)
-    pool.upstreams.erase(id);
-  if (!forgotten.empty())
-    health_forget(pool.health, pool.upstreams);
   std::erase_if(pool.found_ends, [now](const auto& item) {
     return now > item.second.second + FORGET_MS / 10;
   });
+  for (const std::string& id : forgotten)
+    pool.upstreams.erase(id);
+  if (forgotten.empty())
+    return;
+  ++pool.upstreams_version;
+  health_forget(pool.health, pool.upstreams);
 }
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -329,8 +329,10 @@
   wire::control_news& news = *envelope.mutable_control_news();
   news.mutable_latest()->set_version(1);
   *news.mutable_grants() = control_.table.grants();
+  // A replica has not heard of all upstreams at any time.
   for (const fake_upstream& upstream : upstreams_) {
-    if (upstream.info().zone() == hosts_[to].zone)
+    bool heard = !faulty_ || chance(0.5);
+    if (upstream.info().zone() == hosts_[to].zone && heard)
       *news.add_upstreams() = upstream.info();
   }
   messages_.push_back({now_ + between(0, 4) * STEP_MS, to, envelope});
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -51,11 +51,20 @@
   }
 
   void ask(const wire::run_request& wanted, const std::string& from = "e1") {
-    hear_peer(state, from, 1, now, now, out);
+    say_hello(from, 1);
     request_runs(state, from, wanted, now, out);
     flush();
   }
 
+  // A host that has received all that the owner told it.
+  void say_hello(const std::string& from, uint64_t incarnation) {
+    hear_peer(state, from, incarnation, now, now, out);
+    wire::pool_hello hello;
+    hello.set_requests(state.peers[from].requests_received);
+    hello.set_have_upstreams(state.upstreams_version);
+    answer_hello(state, from, hello, now);
+  }
+
   void flush() {
     place_tasks(state, now, out);
     for (run_order& order : std::exchange(out.orders, {}))
@@ -82,7 +91,7 @@
         answer(order_sent, order);
       if (keep_peers) {
         for (const auto& [host, peer] : std::map(state.peers))
-          hear_peer(state, host, peer.incarnation, now, now, out);
+          say_hello(host, peer.incarnation);
       }
       tick_pool(state, now, out);
       flush();
@@ -488,6 +497,7 @@
   own(1);
   ask(request(7, "j1", 1));
   wire::pool_hello hello;
+  hello.set_have_upstreams(state.upstreams_version);
   hello.set_requests(1);
   EXPECT_FALSE(answer_hello(state, "e1", hello, now).requests_lost());
   // A second request was sent and did not arrive.
@@ -655,5 +665,55 @@
   }
 }
 
+// A process that was just started became the owner before it had heard of all
+// upstreams: the task runs on one of the others.
+TEST_F(pool_fixture, a_resumed_task_waits_for_upstreams_not_heard_of_yet) {
+  fake_upstream& hidden = add_upstream("u1");
+  own(1);
+  run_until(now + 20);
+  ask(request(7, "j1", 1));
+  run_until(now + 10);
+  ASSERT_EQ(hidden.runs().size(), 1U);
+  // Another process takes over and knows only u2.
+  state = {};
+  state.zone = "kranj";
+  waiting.clear();
+  fake_upstream& other = add_upstream("u2");
+  own(2);
+  run_until(now + 20);
+  wire::run_request resumed = request(7, "j1", 1);
+  resumed.set_resumed(true);
+  resumed.add_former_upstreams("u1");
+  ask(resumed);
+  run_until(now + 50);
+  EXPECT_EQ(other.starts(), 0U);
+  // It is heard of: its run is adopted.
+  learn_upstream(state, hidden.info(), now, out);
+  flush();
+  run_until(now + 400);
+  EXPECT_EQ(other.starts(), 0U);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+}
+
+// Tasks run only where their entry host knows that the owner has upstreams, so
+// that it can tell the next owner.
+TEST_F(pool_fixture, an_upstream_takes_tasks_once_entry_hosts_know_of_it) {
+  fake_upstream& upstream = add_upstream("u1");
+  own(1);
+  run_until(now + 20);
+  hear_peer(state, "e1", 1, now, now, out);
+  request_runs(state, "e1", request(7, "j1", 1), now, out);
+  flush();
+  EXPECT_TRUE(upstream.runs().empty());
+  wire::pool_hello hello;
+  wire::pool_state told = answer_hello(state, "e1", hello, now);
+  ASSERT_EQ(told.upstreams_size(), 1);
+  hello.set_have_upstreams(told.upstreams_version());
+  EXPECT_EQ(answer_hello(state, "e1", hello, now).upstreams_size(), 0);
+  flush();
+  run_until(now + 20);
+  EXPECT_EQ(upstream.runs().size(), 1U);
+}
+
 }  // namespace
 }  // namespace cyclamenwood
