The first election after a start comes soon

The first election waited as long as one that a silent leader leads to, 0.5 to 1 s.

Change: after a start it comes after 150 to 300 ms, more than a heartbeat. A live leader is heard first, and voters that hear one grant no vote.

Ruled out: showing what a replica holds before an election (may not be committed).

Test: control_fixture.a_started_group_elects_soon_and_a_live_leader_stays.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -85,6 +85,7 @@
     options.target_voters = target_voters(settings);
     options.election_timeout_ms = 500;
     options.heartbeat_interval_ms = 100;
+    options.first_election_ms = 150;
     options.resend_timeout_ms = 250;
     options.open_membership = true;
     return options;
--- a/cyclamenwood/raft.cc
+++ b/cyclamenwood/raft.cc
@@ -235,11 +235,21 @@
 
 }  // namespace
 
+static void draw_election(raft_group& group, int64_t timeout_ms, int64_t now) {
+  std::uniform_int_distribution<int64_t> extra(0, timeout_ms - 1);
+  group.election_at_ms = now + timeout_ms + extra(group.random);
+}
+
 void reset_election_timer(raft_group& group, int64_t now) {
-  std::uniform_int_distribution<int64_t> extra(
-      0, group.options.election_timeout_ms - 1);
-  group.election_at_ms =
-      now + group.options.election_timeout_ms + extra(group.random);
+  draw_election(group, group.options.election_timeout_ms, now);
+}
+
+void start_election_timer(raft_group& group, int64_t now) {
+  const raft_options& options = group.options;
+  draw_election(group,
+                options.first_election_ms > 0 ? options.first_election_ms
+                                              : options.election_timeout_ms,
+                now);
 }
 
 void become_follower(raft_group& group,
@@ -274,7 +284,7 @@
   group.members = voters;
   group.options = options;
   group.random.seed(seed);
-  reset_election_timer(group, now);
+  start_election_timer(group, now);
   return group;
 }
 
--- a/cyclamenwood/raft.h
+++ b/cyclamenwood/raft.h
@@ -44,6 +44,11 @@
   // An election starts when no leader was heard for a time drawn from
   // [election_timeout_ms, 2 * election_timeout_ms).
   int64_t election_timeout_ms = 1000;
+  // After a start the first time is drawn from [first_election_ms,
+  // 2 * first_election_ms), so that a group that lost its power everywhere need
+  // not wait for a leader that can't be. Longer than a heartbeat: a live leader
+  // is heard first, and its voters grant no vote anyway. 0: as all others.
+  int64_t first_election_ms = 0;
   int64_t heartbeat_interval_ms = 250;
   // An unanswered append is repeated after this time.
   int64_t resend_timeout_ms = 500;
--- a/cyclamenwood/raft_internal.h
+++ b/cyclamenwood/raft_internal.h
@@ -53,6 +53,8 @@
 // ---- raft.cc ----------------------------------------------------------------
 
 void reset_election_timer(raft_group& group, int64_t now);
+// The first one after the process has started.
+void start_election_timer(raft_group& group, int64_t now);
 void become_follower(raft_group& group,
                      uint64_t term,
                      uint64_t leader,
--- a/cyclamenwood/raft_log.cc
+++ b/cyclamenwood/raft_log.cc
@@ -132,7 +132,7 @@
 void raft_replay_done(raft_group& group, int64_t now) {
   group.synced_index = raft_last_index(group);
   group.commit_index = group.snapshot.index();
-  reset_election_timer(group, now);
+  start_election_timer(group, now);
 }
 
 void raft_write_initial_members(raft_group& group, raft_output& out) {
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -173,6 +173,7 @@
     raft_options raft;
     raft.election_timeout_ms = 500;
     raft.heartbeat_interval_ms = 100;
+    raft.first_election_ms = 150;
     raft.open_membership = true;
     raft.target_voters = target_voters;
     uint64_t identity = founds ? founding_identity(host) : 900 + hosts.size();
@@ -354,6 +355,21 @@
   EXPECT_EQ(group(leader()).raft.members.voters_size(), 3);
 }
 
+// After a start everywhere nobody waits for a leader that can't be; one that
+// starts beside a live leader leaves it alone.
+TEST_F(control_fixture, a_started_group_elects_soon_and_a_live_leader_stays) {
+  run_for(320);
+  std::string first = leader();
+  ASSERT_FALSE(first.empty());
+  uint64_t term = group(first).raft.term;
+  std::string restarted = first == "10.0.0.1:7" ? "10.0.0.2:7" : "10.0.0.1:7";
+  hosts.erase(restarted);
+  add(restarted, true);
+  run_for(3000);
+  EXPECT_EQ(leader(), first);
+  EXPECT_EQ(group(first).raft.term, term);
+}
+
 // Two hosts may be lost at a time: five vote, at most two of them in a zone, so
 // that the loss of two hosts or of a zone leaves a majority.
 TEST_F(control_fixture, voters_grow_to_five_spread_over_zones) {
