--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -46,9 +46,8 @@
     out.effects.push_back(answer);
   for (auto& [host, envelope] : done.messages)
     send(state, host, std::move(envelope), out);
-  for (intake_note& note : done.notes)
-    out.effects.push_back(
-        host_note{std::move(note.event), std::move(note.details)});
+  for (event_note& note : done.notes)
+    out.effects.push_back(std::move(note));
 }
 
 void absorb(host_entry& state, pool_output done, host_outbox& out) {
@@ -59,15 +58,14 @@
     *envelope.mutable_run_results() = std::move(results);
     send(state, host, std::move(envelope), out);
   }
-  for (pool_note& note : done.notes)
-    out.effects.push_back(
-        host_note{std::move(note.event), std::move(note.details)});
+  for (event_note& note : done.notes)
+    out.effects.push_back(std::move(note));
   if (done.lost)
     disown_pool(state.upstreams);
 }
 
 void note(host_outbox& out, std::string event, std::string details) {
-  out.effects.push_back(host_note{std::move(event), std::move(details)});
+  out.effects.push_back(event_note{std::move(event), std::move(details)});
 }
 
 void say_pool_hello(host_entry& state, unix_ms now, host_outbox& out) {
--- a/cyclamenwood/host_entry.h
+++ b/cyclamenwood/host_entry.h
@@ -81,13 +81,8 @@
   wire::envelope envelope;
 };
 
-struct host_note {
-  std::string event;
-  std::string details;
-};
-
 using host_effect =
-    std::variant<caller_answer, run_order, host_send, host_note>;
+    std::variant<caller_answer, run_order, host_send, event_note>;
 using host_effects = std::vector<host_effect>;
 
 // ---- State ----------------------------------------------------------------
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -341,9 +341,9 @@
     intake.jobs.at(known->second).exchanges.push_back(call.exchange);
     return;
   }
-  bool may_outlast = now + DRAIN_ALLOWANCE * longest_chain_ms(job) +
-                         DRAIN_MARGIN_MS >
-                     intake.answer_by_ms;
+  bool may_outlast =
+      now + DRAIN_ALLOWANCE * longest_chain_ms(job) + DRAIN_MARGIN_MS >
+      intake.answer_by_ms;
   if (may_outlast) {
     refuse(out, call, caller_outcome::refused, "draining");
     return;
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -155,15 +155,10 @@
   std::map<std::string, uint64_t> by_id;
 };
 
-struct intake_note {
-  std::string event;
-  std::string details;
-};
-
 struct intake_output {
   std::vector<caller_answer> answers;
   std::vector<std::pair<std::string, wire::envelope>> messages;
-  std::vector<intake_note> notes;
+  std::vector<event_note> notes;
 };
 
 void call_arrived(intake& intake,
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -209,15 +209,10 @@
 };
 
 // What the pool wants done.
-struct pool_note {
-  std::string event;
-  std::string details;
-};
-
 struct pool_output {
   std::vector<run_order> orders;
   std::vector<std::pair<std::string, wire::run_results>> results;
-  std::vector<pool_note> notes;
+  std::vector<event_note> notes;
   // A fence rejected an order: this process owns nothing any more.
   bool lost = false;
 };
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -233,7 +233,7 @@
       {now_ + between(0, 2) * STEP_MS, sent.host, sent.envelope});
 }
 
-void host_model::execute(host& /*from*/, const host_note& note) {
+void host_model::execute(host& /*from*/, const event_note& note) {
   if (note.event == "ownership_taken")
     ++counts_.takeovers;
 }
--- /dev/null
+++ b/cyclamenwood/testing/pool_fixture.h
@@ -0,0 +1,158 @@
+// One pool against upstreams without a network, for its tests.
+#ifndef CYCLAMENWOOD_TESTING_POOL_FIXTURE_H_
+#define CYCLAMENWOOD_TESTING_POOL_FIXTURE_H_
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cyclamenwood/pool.h"
+#include "cyclamenwood/testing/fake_upstream.h"
+
+namespace cyclamenwood {
+
+constexpr int64_t STEP_MS = 5;
+constexpr int64_t RUN_MS = 100;
+
+// One pool, its upstreams, and a clock. Orders are carried out at once and
+// holds answered when something ended or their wait is over.
+class pool_fixture : public testing::Test {
+ protected:
+  pool_fixture() { state.zone = "kranj"; }
+
+  fake_upstream& add_upstream(const std::string& id, uint32_t cpu = 2000) {
+    upstreams.emplace_back(id, "kranj", cpu, 500'000, RUN_MS);
+    learn_upstream(state, upstreams.back().info(), now, out);
+    flush();
+    return upstreams.back();
+  }
+
+  void own(uint64_t token) {
+    own_pool(state, token, now, out);
+    flush();
+  }
+
+  wire::run_request request(uint64_t submission,
+                            const std::string& job,
+                            uint32_t tasks) {
+    wire::run_request made;
+    made.set_submission(submission);
+    made.set_job(job);
+    for (uint32_t task = 0; task < tasks; ++task)
+      made.add_tasks(task);
+    made.set_spec("spec");
+    made.mutable_need()->set_cpu_milli(1000);
+    made.set_service("fit-desk");
+    made.set_max_attempts(2);
+    made.set_estimate_ms(RUN_MS);
+    made.set_aim_ms(300);
+    made.set_remaining_ms(3000);
+    return made;
+  }
+
+  void ask(const wire::run_request& wanted, const std::string& from = "e1") {
+    say_hello(from, 1);
+    request_runs(state, from, wanted, now, out);
+    flush();
+  }
+
+  // A host that has received all that the owner told it.
+  void say_hello(const std::string& from, uint64_t incarnation) {
+    hear_peer(state, from, incarnation, now, now, out);
+    wire::pool_hello hello;
+    hello.set_requests(state.peers[from].requests_received);
+    hello.set_have_upstreams(state.upstreams_version);
+    answer_hello(state, from, hello, now);
+  }
+
+  void flush() {
+    place_tasks(state, now, out);
+    for (run_order& order : std::exchange(out.orders, {}))
+      waiting.push_back({now, std::move(order)});
+    for (auto& [host, results] : std::exchange(out.results, {})) {
+      for (const wire::run_result& result : results.results())
+        reported.emplace_back(host, result);
+    }
+  }
+
+  fake_upstream* find(const std::string& id) {
+    for (fake_upstream& upstream : upstreams) {
+      if (upstream.info().id() == id)
+        return &upstream;
+    }
+    return nullptr;
+  }
+
+  // Answers orders until `until`.
+  void run_until(unix_ms until) {
+    while (now < until) {
+      now += STEP_MS;
+      for (auto& [order_sent, order] : std::exchange(waiting, {}))
+        answer(order_sent, order);
+      if (keep_peers) {
+        for (const auto& [host, peer] : std::map(state.peers))
+          say_hello(host, peer.incarnation);
+      }
+      tick_pool(state, now, out);
+      flush();
+    }
+  }
+
+  void answer(unix_ms sent, const run_order& order) {
+    fake_upstream* upstream = find(order.upstream);
+    upstream->advance(now);
+    bool silent = unreachable.contains(order.upstream) ||
+                  (order.kind == order_kind::start && drop_starts > 0);
+    if (silent) {
+      if (now < order.give_up_ms) {
+        waiting.push_back({sent, order});
+        return;
+      }
+      if (order.kind == order_kind::start)
+        --drop_starts;
+      order_replied(state, order.id, {}, now, out);
+    } else {
+      order_reply reply = upstream->carry_out(order, now);
+      bool waits = order.kind == order_kind::hold && reply.ended.empty() &&
+                   now < sent + order.wait_ms;
+      if (waits) {
+        waiting.push_back({sent, order});
+        return;
+      }
+      order_replied(state, order.id, reply, now, out);
+    }
+    flush();
+  }
+
+  size_t count(wire::run_outcome outcome) const {
+    return std::count_if(reported.begin(), reported.end(),
+                         [outcome](const auto& item) {
+                           return item.second.outcome() == outcome;
+                         });
+  }
+
+  struct sent_order {
+    unix_ms sent = 0;
+    run_order order;
+  };
+
+  unix_ms now = 1'000'000;
+  pool state;
+  pool_output out;
+  std::deque<fake_upstream> upstreams;
+  std::vector<sent_order> waiting;
+  std::vector<std::pair<std::string, wire::run_result>> reported;
+  std::set<std::string> unreachable;
+  int drop_starts = 0;
+  bool keep_peers = true;
+};
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_TESTING_POOL_FIXTURE_H_
--- a/cyclamenwood/types.h
+++ b/cyclamenwood/types.h
@@ -52,6 +52,13 @@
 // A stable 64-bit hash (FNV-1a with a final mix), the same in all processes.
 uint64_t stable_hash(std::string_view text);
 
+// A log line that a reducer wants written: an event's name and `key=value`
+// pairs.
+struct event_note {
+  std::string event;
+  std::string details;
+};
+
 }  // namespace cyclamenwood
 
 #endif  // CYCLAMENWOOD_TYPES_H_
