Upstreams of owners of a moment ago are not forgotten

Cause, found by reading: when a zone's owner changes twice within a lease, the owner between may not have heard of all upstreams that the first one used, and entry hosts told the third only of that owner's. A task could then start while its first run still held its lease.

Change: entry hosts keep the upstreams of the owners before for two leases.

Ruled out: keeping them for good: a change of owner would wait for upstreams that left long ago.

Test: intake_fixture.upstreams_of_owners_of_a_moment_ago_are_not_forgotten.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -24,6 +24,8 @@
 // Tasks that no zone could take so far look for one again: the interval of the
 // news that tell of room.
 constexpr int64_t UNASSIGNED_RETRY_MS = 100;
+// For this long runs of an owner's predecessor may last: twice a lease.
+constexpr int64_t FORMER_RUNS_MS = 2'000;
 // A draining process takes a call when this many times its estimated work, and
 // a margin for queues and messages, fit before its end: estimates are off by up
 // to 40%, and a slow task is moved once.
@@ -464,17 +466,28 @@
   return changed;
 }
 
+// What is known of a zone whose owner has just changed.
+static known_pool succeed(known_pool former, unix_ms now) {
+  known_pool next;
+  next.since_ms = now;
+  next.former_upstreams = std::move(former.upstreams);
+  // An owner of a moment ago may not have heard of all that the one before it
+  // used.
+  if (now - former.since_ms < FORMER_RUNS_MS)
+    next.former_upstreams.insert(next.former_upstreams.end(),
+                                 former.former_upstreams.begin(),
+                                 former.former_upstreams.end());
+  return next;
+}
+
 void hear_pool(intake& intake,
                const wire::pool_state& state,
                unix_ms now,
                intake_output& out) {
   known_pool& pool = intake.pools[state.zone()];
   bool is_new_owner = pool.token != state.token();
-  if (is_new_owner) {
-    std::vector<std::string> former = std::move(pool.upstreams);
-    pool = {};
-    pool.former_upstreams = std::move(former);
-  }
+  if (is_new_owner)
+    pool = succeed(std::move(pool), now);
   bool lost = state.requests_lost() || state.results() != pool.results_received;
   pool.token = state.token();
   pool.heard_ms = now;
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -131,8 +131,10 @@
   // Messages to and from this owner; see pool_hello and pool_state.
   uint64_t requests_sent = 0;
   uint64_t results_received = 0;
-  // The owner's upstreams, as of its list's version, and those of the owner
-  // before it.
+  // When this owner was first heard.
+  unix_ms since_ms = 0;
+  // The owner's upstreams, as of its list's version, and those of the owners
+  // before it whose runs may last.
   uint64_t upstreams_version = 0;
   std::vector<std::string> upstreams;
   std::vector<std::string> former_upstreams;
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -1,6 +1,7 @@
 // The callers' part of an entry host, and the choice of a zone.
 #include "cyclamenwood/intake.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -160,6 +161,35 @@
   EXPECT_TRUE(requests("e1")[1].resumed());
 }
 
+// Two changes of owner within a lease: the owner between may not have heard of
+// the upstreams that the first one used.
+TEST_F(intake_fixture, upstreams_of_owners_of_a_moment_ago_are_not_forgotten) {
+  auto tell = [this](uint64_t token, std::vector<std::string> ids) {
+    wire::pool_state told;
+    told.set_zone("kranj");
+    told.set_token(token);
+    told.set_upstreams_version(token);
+    *told.mutable_upstreams() = {ids.begin(), ids.end()};
+    hear_pool(state, told, now, out);
+  };
+  submit(1, "a", make_job(1, 100), 20'000);
+  tell(1, {"u1", "u2"});
+  now += 5000;
+  grant("kranj", "e3", 5);
+  tell(5, {"u1"});
+  now += 300;
+  grant("kranj", "e4", 6);
+  tell(6, {});
+  wire::run_request last = requests("e4").back();
+  EXPECT_THAT(last.former_upstreams(),
+              testing::UnorderedElementsAre("u1", "u1", "u2"));
+  // Later the owner between has read its lists and knows what runs.
+  now += 5000;
+  grant("kranj", "e5", 7);
+  tell(7, {});
+  EXPECT_TRUE(requests("e5").back().former_upstreams().empty());
+}
+
 TEST_F(intake_fixture, what_is_missing_is_asked_for_when_messages_were_lost) {
   submit(1, "a", make_job(1, 100), 5000);
   EXPECT_EQ(make_pool_hello(state, "kranj").requests(), 1U);
