A listening address is taken by one process only

The HTTP server asked its library for a shared address (SO_REUSEPORT), and both tests of the fixture, which run side by side, listened on one fixed port: each got the other's connection, and the one that ended first cut the other's. A second process started by mistake at the same address would have taken a part of the callers in the same silent way.

Change: the address is not shared any more (the library still allows the port of a process that is gone to be taken again); the tests listen on a free port. Checks of the long roll-out test show what each process said when they fail.

Ruled out: load: the failing test took 1 ms.

Test: http_server_fixture.an_address_that_is_listened_on_is_refused, which fails with the option set (seen).

--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -315,8 +315,7 @@
       MHD_OPTION_PER_IP_CONNECTION_LIMIT,
       static_cast<unsigned int>(limits.max_connections_per_ip),
       MHD_OPTION_CONNECTION_TIMEOUT,
-      static_cast<unsigned int>(limits.idle_timeout_s),
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      static_cast<unsigned int>(limits.idle_timeout_s), MHD_OPTION_END);
   if (self.daemon == nullptr)
     return error{error_code::listen_failed, address};
   const MHD_DaemonInfo* info =
@@ -355,6 +354,12 @@
     ::close(listening);
 }
 
+uint16_t http_server::port() const {
+  const MHD_DaemonInfo* info =
+      MHD_get_daemon_info(implementation_->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  return info->port;
+}
+
 size_t http_server::open_exchanges() const {
   return implementation_->exchanges.size();
 }
--- a/cyclamenwood/http_server.h
+++ b/cyclamenwood/http_server.h
@@ -50,7 +50,11 @@
   // Names of the request headers that handlers want to see. Before `listen`.
   void capture_headers(std::vector<std::string> names);
 
+  // Takes connections at "ip:port". An address that another process listens on
+  // is an error; port 0 picks a free one.
   result<done> listen(const std::string& address);
+  // The port that `listen` took.
+  uint16_t port() const;
 
   // Answers an exchange; unknown and answered exchanges are ignored.
   void respond(uint64_t exchange, const api_answer& answer);
--- a/cyclamenwood/testing/config_test.cc
+++ b/cyclamenwood/testing/config_test.cc
@@ -113,7 +113,8 @@
     for (uint64_t version = from; version <= to; ++version) {
       ASSERT_TRUE(wait_until([&] {
         return site.roll_out(version, "lj-bezigrad-1").status == 200;
-      })) << version;
+      })) << version
+          << site.describe();
     }
   };
   auto replica_has = [&](const std::string& replica, uint64_t version) {
@@ -126,9 +127,10 @@
   site.kill_process("lj-vic-r1");
   roll_out_up_to(2, HALF);
   site.start_process("lj-vic-r1");
-  ASSERT_TRUE(replica_has("lj-vic-r1", HALF));
-  ASSERT_TRUE(wait_until(
-      [&] { return in_force_everywhere(site, HALF, site.entry_hosts()); }));
+  ASSERT_TRUE(replica_has("lj-vic-r1", HALF)) << site.describe();
+  ASSERT_TRUE(wait_until([&] {
+    return in_force_everywhere(site, HALF, site.entry_hosts());
+  })) << site.describe();
   site.cut_zone("kranj");
   roll_out_up_to(HALF + 1, LAST);
   // The cut-off zone keeps what it had.
@@ -136,8 +138,9 @@
   EXPECT_LT(version_at(site, "kranj-1"), LAST);
   site.heal();
   unix_ms healed_ms = current_time();
-  ASSERT_TRUE(wait_until(
-      [&] { return in_force_everywhere(site, LAST, site.entry_hosts()); }));
+  ASSERT_TRUE(wait_until([&] {
+    return in_force_everywhere(site, LAST, site.entry_hosts());
+  })) << site.describe();
   fmt::print("after the cut: in force everywhere after {} ms\n",
              current_time() - healed_ms);
   // Everything restarts at once.
@@ -149,8 +152,9 @@
     site.start_process(name);
   for (const std::string& name : site.entry_hosts())
     site.start_process(name);
-  ASSERT_TRUE(wait_until(
-      [&] { return in_force_everywhere(site, LAST, site.entry_hosts()); }));
+  ASSERT_TRUE(wait_until([&] {
+    return in_force_everywhere(site, LAST, site.entry_hosts());
+  })) << site.describe();
   EXPECT_EQ(site.roll_out(2).status, 200) << "a resend of an old version";
   EXPECT_EQ(site.roll_out(LAST + 1).status, 200);
 }
--- a/cyclamenwood/testing/deployment.cc
+++ b/cyclamenwood/testing/deployment.cc
@@ -378,6 +378,19 @@
   return text.str();
 }
 
+std::string deployment::describe() {
+  constexpr size_t LOG_BYTES = 1'500;
+  std::string text;
+  for (const auto& [name, process] : processes_) {
+    std::string log = log_of(name);
+    size_t from = log.size() > LOG_BYTES ? log.size() - LOG_BYTES : 0;
+    text +=
+        fmt::format("---- {} running={}\nstatus {}\n{}\n", name,
+                    is_running(name), status(name).dump(), log.substr(from));
+  }
+  return text;
+}
+
 void deployment::wipe_data(const std::string& replica) {
   std::filesystem::remove_all(data_folder(replica));
 }
--- a/cyclamenwood/testing/deployment.h
+++ b/cyclamenwood/testing/deployment.h
@@ -110,6 +110,9 @@
   // Exit code of a process that ended by itself, or -1.
   int wait_for_exit(const std::string& name, int64_t limit_ms = 20'000);
   std::string log_of(const std::string& name) const;
+  // For the message of a failed check: what each process says of itself now,
+  // and the end of its log.
+  std::string describe();
   void wipe_data(const std::string& replica);
   // The process can't write files beyond this size: a full disk.
   void limit_file_size(const std::string& name, int64_t bytes);
--- a/cyclamenwood/testing/http_server_test.cc
+++ b/cyclamenwood/testing/http_server_test.cc
@@ -2,9 +2,11 @@
 // depends on how long anything takes.
 #include "cyclamenwood/http_server.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -14,7 +16,7 @@
 namespace cyclamenwood {
 namespace {
 
-constexpr char ADDRESS[] = "127.0.0.1:18977";
+constexpr char ANY_PORT[] = "127.0.0.1:0";
 // Far more than a request needs; far fewer than pass between two runs of the
 // server's housekeeping.
 constexpr int MAX_TURNS = 2'000;
@@ -30,7 +32,11 @@
             },
             [](uint64_t /*exchange*/) {}) {}
 
-  void SetUp() override { ASSERT_TRUE(ok(server.listen(ADDRESS))); }
+  void SetUp() override { ASSERT_TRUE(ok(server.listen(ANY_PORT))); }
+
+  std::string address() const {
+    return fmt::format("127.0.0.1:{}", server.port());
+  }
 
   // Turns the loop until the condition holds. Never waits.
   bool turn_until(const std::function<bool()>& holds) {
@@ -56,17 +62,28 @@
 // Requests on a kept connection waited up to 500 ms: the server's library
 // leaves work for its next run without its descriptor becoming readable.
 TEST_F(http_server_fixture, a_kept_connection_is_served_without_housekeeping) {
-  raw_http caller(ADDRESS);
+  raw_http caller(address());
   for (int request = 0; request < 20; ++request) {
     ASSERT_TRUE(exchange(caller)) << "request " << request;
     EXPECT_NE(caller.receive().find("200"), std::string::npos);
   }
 }
 
+// Two processes shared an address without a word, each with a part of the
+// connections.
+TEST_F(http_server_fixture, an_address_that_is_listened_on_is_refused) {
+  http_server second(
+      loop, http_settings(), [](const http_request&) {},
+      [](uint64_t /*exchange*/) {});
+  result<done> listening = second.listen(address());
+  ASSERT_FALSE(ok(listening));
+  EXPECT_EQ(failure(listening).code, error_code::listen_failed);
+}
+
 // A process that drains ends when no exchange is open; a request that was read
 // on a kept connection and not yet counted was cut by that.
 TEST_F(http_server_fixture, a_request_read_while_closing_is_open) {
-  raw_http caller(ADDRESS);
+  raw_http caller(address());
   ASSERT_TRUE(exchange(caller));
   caller.receive();
   server.close_after_answers();
