--- a/cyclamenwood/control_log.cc
+++ b/cyclamenwood/control_log.cc
@@ -1,4 +1,4 @@
-// A zone has one record, replaced by each grant; the counter of tokens is part
+// A shard has one record, replaced by each grant; the counter of tokens is part
 // of the state and so of each snapshot.
 #include "cyclamenwood/control_log.h"
 
@@ -17,7 +17,7 @@
   log.table.set_last_token(token);
   wire::owner_grant* record = nullptr;
   for (wire::owner_grant& known : *log.table.mutable_grants()) {
-    if (known.zone() == wanted.zone())
+    if (known.zone() == wanted.zone() && known.shard() == wanted.shard())
       record = &known;
   }
   if (record == nullptr)
@@ -27,9 +27,10 @@
 }
 
 const wire::owner_grant* find_grant(const control_log& log,
-                                    std::string_view zone) {
+                                    std::string_view zone,
+                                    uint32_t shard) {
   for (const wire::owner_grant& known : log.table.grants()) {
-    if (known.zone() == zone)
+    if (known.zone() == zone && known.shard() == shard)
       return &known;
   }
   return nullptr;
--- a/cyclamenwood/control_log.h
+++ b/cyclamenwood/control_log.h
@@ -1,5 +1,5 @@
 // The control log's state machine: the configuration in force and who owns
-// each availability zone's upstreams.
+// which upstreams.
 //
 // The configuration with the highest version wins; a version that is not
 // higher than the one in force changes nothing. Each grant of ownership gets
@@ -23,12 +23,13 @@
 // and was not before.
 bool apply_latest(control_log& log, const wire::roll_out& offered);
 
-// Applies one committed grant, which replaces the zone's former one.
+// Applies one committed grant, which replaces the shard's former one.
 void apply_grant(control_log& log, const wire::owner_grant& wanted);
 
-// The grant of a zone, or null.
+// The grant of a shard, or null.
 const wire::owner_grant* find_grant(const control_log& log,
-                                    std::string_view zone);
+                                    std::string_view zone,
+                                    uint32_t shard = 0);
 
 std::string save_control(const control_log& log);
 control_log load_control(std::string_view data);
--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -7,6 +7,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "cyclamenwood/neighbours.h"
+#include "cyclamenwood/pool_name.h"
+
 namespace cyclamenwood {
 namespace {
 
@@ -50,32 +53,58 @@
     out.effects.push_back(std::move(note));
 }
 
-void absorb(host_entry& state, pool_output done, host_outbox& out) {
+void absorb(host_entry& state,
+            pool& source,
+            pool_output done,
+            host_outbox& out) {
   for (run_order& order : done.orders)
     out.effects.push_back(std::move(order));
   for (auto& [host, results] : done.results) {
     wire::envelope envelope;
     *envelope.mutable_run_results() = std::move(results);
+    envelope.mutable_run_results()->set_pool(source.name);
     send(state, host, std::move(envelope), out);
   }
   for (event_note& note : done.notes)
     out.effects.push_back(std::move(note));
   if (done.lost)
-    disown_pool(state.upstreams);
+    disown_pool(source);
+}
+
+// The pool of this name while it is owned here, or null.
+pool* find_owned(host_entry& state, const std::string& name) {
+  auto found = state.pools.find(name);
+  bool owned = found != state.pools.end() && found->second.token != 0;
+  return owned ? &found->second : nullptr;
 }
 
 void note(host_outbox& out, std::string event, std::string details) {
   out.effects.push_back(event_note{std::move(event), std::move(details)});
 }
 
+// The pools that this process keeps in touch with: those that its jobs may go
+// to next, and those that have some of its jobs.
+std::set<std::string> choose_greeted(const host_entry& state) {
+  std::set<std::string> greeted = choose_neighbours(
+      state.callers.grants, state.settings.zone, state.settings.rpc);
+  for (const auto& [submission, job] : state.callers.jobs) {
+    for (const auto& [name, token] : job.pools)
+      greeted.insert(name);
+  }
+  return greeted;
+}
+
 void say_pool_hello(host_entry& state, unix_ms now, host_outbox& out) {
   if (now < state.pool_hello_ms)
     return;
   state.pool_hello_ms = now + POOL_HELLO_INTERVAL_MS;
-  for (const auto& [zone, grant] : state.callers.grants) {
+  for (const std::string& name : choose_greeted(state)) {
+    auto grant = state.callers.grants.find(name);
+    if (grant == state.callers.grants.end())
+      continue;
     wire::envelope envelope;
-    *envelope.mutable_pool_hello() = make_pool_hello(state.callers, zone);
-    send(state, grant.host(), std::move(envelope), out);
+    *envelope.mutable_pool_hello() = make_pool_hello(state.callers, name);
+    send(state, grant->second.host(), std::move(envelope), out);
   }
 }
 
@@ -101,34 +130,51 @@
                    state.callers.routes->routes.size()));
 }
 
-void take_ownership(host_entry& state, unix_ms now, host_outbox& out) {
-  auto found = state.callers.grants.find(state.settings.zone);
-  if (found == state.callers.grants.end())
-    return;
-  const wire::owner_grant& grant = found->second;
-  pool& pool = state.upstreams;
-  if (grant.token() <= pool.highest_token)
-    return;
-  bool mine = grant.host() == state.settings.rpc &&
-              grant.incarnation() == state.incarnation;
+bool is_mine(const host_entry& state, const wire::owner_grant& grant) {
+  return grant.host() == state.settings.rpc &&
+         grant.incarnation() == state.incarnation;
+}
+
+void take_pool(host_entry& state,
+               const wire::owner_grant& grant,
+               unix_ms now,
+               host_outbox& out) {
+  pool& pool = state.pools[pool_name(grant)];
+  pool.name = pool_name(grant);
+  pool.options.lease_ms = state.settings.run_lease_ms;
   pool_output done;
-  if (mine) {
-    own_pool(pool, grant.token(), now, done);
-  } else if (pool.token != 0) {
-    note(
-        out, "ownership_given_up",
-        fmt::format("token={} owner={} by=grant", grant.token(), grant.host()));
-    disown_pool(pool);
+  for (const auto& [id, upstream] : state.upstreams) {
+    if (shard_of(id, shards_of(grant)) == grant.shard())
+      learn_upstream(pool, upstream, now, done);
+  }
+  own_pool(pool, grant.token(), now, done);
+  absorb(state, pool, std::move(done), out);
+}
+
+void take_ownership(host_entry& state, unix_ms now, host_outbox& out) {
+  for (const auto& [name, grant] : state.callers.grants) {
+    if (grant.zone() != state.settings.zone)
+      continue;
+    auto known = state.pools.find(name);
+    bool is_new = known == state.pools.end() ||
+                  grant.token() > known->second.highest_token;
+    if (is_new && is_mine(state, grant)) {
+      take_pool(state, grant, now, out);
+    } else if (is_new && find_owned(state, name) != nullptr) {
+      note(out, "ownership_given_up",
+           fmt::format("pool={} token={} owner={} by=grant", name,
+                       grant.token(), grant.host()));
+      disown_pool(known->second);
+    }
   }
-  absorb(state, std::move(done), out);
 }
 
 // What a replica or another entry host says is in force.
 void take_grants(host_entry& state,
-                 const wire::control_news& news,
+                 const grant_list& grants,
                  unix_ms now,
                  host_outbox& out) {
-  bool owner_changed = learn_grants(state.callers, news);
+  bool owner_changed = learn_grants(state.callers, grants);
   take_ownership(state, now, out);
   if (!owner_changed)
     return;
@@ -183,9 +229,7 @@
                     unix_ms now,
                     host_outbox& out) {
   take_config(state, told.latest(), out);
-  wire::control_news news;
-  *news.mutable_grants() = told.grants();
-  take_grants(state, news, now, out);
+  take_grants(state, told.grants(), now, out);
 }
 
 void take_peer_list(host_entry& state, const wire::peer_list& list) {
@@ -193,6 +237,29 @@
   state.entry_hosts.insert(state.settings.rpc);
 }
 
+// Replicas differ in what they have heard: the newest counts.
+void take_upstream(host_entry& state,
+                   const wire::upstream& heard,
+                   unix_ms now,
+                   host_outbox& out) {
+  wire::upstream& known = state.upstreams[heard.id()];
+  bool leaves = known.state() == wire::UPSTREAM_LEAVING &&
+                known.incarnation() == heard.incarnation();
+  if (heard.incarnation() >= known.incarnation())
+    known = heard;
+  if (leaves)
+    known.set_state(wire::UPSTREAM_LEAVING);
+  for (auto& [name, pool] : state.pools) {
+    const wire::owner_grant& grant = state.callers.grants.at(name);
+    bool belongs = shard_of(heard.id(), shards_of(grant)) == grant.shard();
+    if (!belongs)
+      continue;
+    pool_output learned;
+    learn_upstream(pool, heard, now, learned);
+    absorb(state, pool, std::move(learned), out);
+  }
+}
+
 void take_news(host_entry& state,
                unix_ms now,
                const wire::envelope& envelope,
@@ -205,11 +272,9 @@
   from.have_change = news.change();
   if (news.has_latest())
     take_config(state, news.latest(), out);
-  pool_output learned;
   for (const wire::upstream& upstream : news.upstreams())
-    learn_upstream(state.upstreams, upstream, now, learned);
-  absorb(state, std::move(learned), out);
-  take_grants(state, news, now, out);
+    take_upstream(state, upstream, now, out);
+  take_grants(state, news.grants(), now, out);
 }
 
 // ---- Messages ---------------------------------------------------------------
@@ -218,37 +283,61 @@
                        unix_ms now,
                        const wire::envelope& envelope,
                        host_outbox& out) {
-  if (state.upstreams.token == 0)
+  pool* asked = find_owned(state, envelope.pool_hello().pool());
+  if (asked == nullptr)
     return;
   pool_output done;
-  hear_peer(state.upstreams, envelope.from(), envelope.incarnation(),
+  hear_peer(*asked, envelope.from(), envelope.incarnation(),
             envelope.pool_hello().echo_ms(), now, done);
-  absorb(state, std::move(done), out);
+  absorb(state, *asked, std::move(done), out);
   wire::envelope reply;
-  *reply.mutable_pool_state() = answer_hello(state.upstreams, envelope.from(),
-                                             envelope.pool_hello(), now);
+  *reply.mutable_pool_state() =
+      answer_hello(*asked, envelope.from(), envelope.pool_hello(), now);
   send(state, envelope.from(), std::move(reply), out);
 }
 
+void take_request(host_entry& state,
+                  unix_ms now,
+                  const wire::envelope& envelope,
+                  host_outbox& out) {
+  const wire::run_request& request = envelope.run_request();
+  pool* asked = find_owned(state, request.pool());
+  if (asked == nullptr)
+    return;
+  pool_output done;
+  if (hear_peer(*asked, envelope.from(), envelope.incarnation(),
+                request.echo_ms(), now, done))
+    request_runs(*asked, envelope.from(), request, now, done);
+  absorb(state, *asked, std::move(done), out);
+}
+
+void take_release(host_entry& state,
+                  unix_ms now,
+                  uint64_t submission,
+                  host_outbox& out) {
+  for (auto& [name, pool] : state.pools) {
+    if (pool.token == 0)
+      continue;
+    pool_output done;
+    release_runs(pool, submission, now, done);
+    absorb(state, pool, std::move(done), out);
+  }
+}
+
 void receive(host_entry& state,
              unix_ms now,
              const wire::envelope& envelope,
              host_outbox& out) {
-  pool_output pooled;
   intake_output taken;
   switch (envelope.body_case()) {
     case wire::envelope::kControlNews:
       take_news(state, now, envelope, out);
       break;
     case wire::envelope::kRunRequest:
-      if (hear_peer(state.upstreams, envelope.from(), envelope.incarnation(),
-                    envelope.run_request().echo_ms(), now, pooled))
-        request_runs(state.upstreams, envelope.from(), envelope.run_request(),
-                     now, pooled);
+      take_request(state, now, envelope, out);
       break;
     case wire::envelope::kRunRelease:
-      release_runs(state.upstreams, envelope.run_release().submission(), now,
-                   pooled);
+      take_release(state, now, envelope.run_release().submission(), out);
       break;
     case wire::envelope::kRunResults:
       take_results(state.callers, envelope.from(), envelope.run_results(), now,
@@ -272,7 +361,6 @@
     default:
       break;
   }
-  absorb(state, std::move(pooled), out);
   absorb(state, std::move(taken), out);
 }
 
@@ -289,6 +377,7 @@
                                                 : 0);
     hello.set_directory(replica.directory);
     hello.set_have_change(replica.have_change);
+    hello.set_have_token(state.callers.have_token);
     send(state, host, std::move(envelope), out);
   }
 }
@@ -299,9 +388,11 @@
   say_hello(state, event.now, out);
   say_pool_hello(state, event.now, out);
   say_peer_hellos(state, event.now, out);
-  pool_output pooled;
-  tick_pool(state.upstreams, event.now, pooled);
-  absorb(state, std::move(pooled), out);
+  for (auto& [name, pool] : state.pools) {
+    pool_output ticked;
+    tick_pool(pool, event.now, ticked);
+    absorb(state, pool, std::move(ticked), out);
+  }
   intake_output taken;
   tick_intake(state.callers, event.now, taken);
   absorb(state, std::move(taken), out);
@@ -328,9 +419,13 @@
 void on_event(host_entry& state,
               const host_order_replied& event,
               host_outbox& out) {
-  pool_output pooled;
-  order_replied(state.upstreams, event.order, event.reply, event.now, pooled);
-  absorb(state, std::move(pooled), out);
+  for (auto& [name, pool] : state.pools) {
+    if (pool.token != token_of_order(event.order))
+      continue;
+    pool_output replied;
+    order_replied(pool, event.order, event.reply, event.now, replied);
+    absorb(state, pool, std::move(replied), out);
+  }
 }
 
 void on_event(host_entry& state, const host_drain& event, host_outbox& out) {
@@ -359,8 +454,7 @@
   state.callers.zone = settings.zone;
   // Submissions of different processes never share a number.
   state.callers.next_submission = incarnation;
-  state.upstreams.zone = settings.zone;
-  state.upstreams.options.lease_ms = settings.run_lease_ms;
+  state.callers.host = settings.rpc;
   for (const std::string& seed : settings.seeds)
     state.replicas.try_emplace(seed);
   return state;
@@ -376,13 +470,20 @@
     out.to_self.clear();
     for (const wire::envelope& envelope : inbox)
       receive(state, now, envelope, out);
-    pool_output placed;
-    place_tasks(state.upstreams, now, placed);
-    absorb(state, std::move(placed), out);
+    for (auto& [name, pool] : state.pools) {
+      pool_output placed;
+      place_tasks(pool, now, placed);
+      absorb(state, pool, std::move(placed), out);
+    }
   } while (!out.to_self.empty());
   return std::move(out.effects);
 }
 
+bool is_owner(const host_entry& state) {
+  return std::any_of(state.pools.begin(), state.pools.end(),
+                     [](const auto& item) { return item.second.token != 0; });
+}
+
 bool is_ready(const host_entry& state) {
   return state.callers.routes.has_value() && !state.draining;
 }
--- a/cyclamenwood/host_entry.h
+++ b/cyclamenwood/host_entry.h
@@ -1,6 +1,6 @@
 // The reducer of an entry host of a seeded deployment: callers' jobs
-// (intake.h), the zone's upstreams while it owns them (pool.h), and what it
-// hears from the replicas of the control log.
+// (intake.h), the pools of upstreams that it owns (pool.h), and what it hears
+// from the replicas of the control log.
 //
 //   host_entry state = make_host_entry(settings, incarnation, now);
 //   effects = reduce(state, host_call{now, call});
@@ -100,7 +100,12 @@
   uint64_t incarnation = 0;
   route_reader read_routes;
   intake callers;
-  cyclamenwood::pool upstreams;
+  // What replicas told of the zone's upstreams, for pools that may become
+  // owned here.
+  std::map<std::string, wire::upstream> upstreams;
+  // By name: those that were ever granted to this process. A pool whose token
+  // is 0 is not owned now.
+  std::map<std::string, pool> pools;
   std::map<std::string, known_replica> replicas;
   // All entry hosts, as a replica told last.
   std::set<std::string> entry_hosts;
@@ -118,6 +123,9 @@
 
 host_effects reduce(host_entry& state, const host_event& event);
 
+// Whether it owns a pool.
+bool is_owner(const host_entry& state);
+
 // Whether the balancer should send callers here.
 bool is_ready(const host_entry& state);
 
--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -132,7 +132,7 @@
     if (now >= close_at_ms_)
       callers_.close_after_answers();
     bool idle = now >= close_at_ms_ && callers_.open_exchanges() == 0 &&
-                state_.upstreams.token == 0;
+                !is_owner(state_);
     if (idle || now >= exit_by_ms_)
       loop_.stop();
   }
@@ -182,18 +182,14 @@
   // What is as of now.
   void refresh(exposition& seen) {
     const intake& callers = state_.callers;
-    const pool& pool = state_.upstreams;
     seen.set("config_version", "",
              callers.routes ? static_cast<double>(callers.routes->version) : 0);
     seen.set("open_jobs", "", static_cast<double>(callers.jobs.size()));
     seen.set("draining", "", state_.draining ? 1 : 0);
-    seen.set("owner_token", "", static_cast<double>(pool.token));
-    seen.set("pool_jobs", "", static_cast<double>(pool.jobs.size()));
-    seen.set("pool_queued_jobs", "", static_cast<double>(pool.queue.size()));
-    seen.set("pool_runs", "", static_cast<double>(pool.placed.size()));
-    seen.set("pool_upstreams", "", static_cast<double>(pool.upstreams.size()));
-    for (const auto& [zone, known] : callers.pools) {
-      seen.set("owner_age_ms", fmt::format("zone=\"{}\"", zone),
+    for (const auto& [name, pool] : state_.pools)
+      refresh(seen, pool);
+    for (const auto& [name, known] : callers.pools) {
+      seen.set("owner_age_ms", fmt::format("pool=\"{}\"", name),
                static_cast<double>(current_time() - known.heard_ms));
     }
     rpc_counts sent = rpc_.counts();
@@ -203,6 +199,17 @@
              static_cast<double>(sent.dropped_messages));
   }
 
+  static void refresh(exposition& seen, const pool& pool) {
+    std::string labels = fmt::format("pool=\"{}\"", pool.name);
+    seen.set("owner_token", labels, static_cast<double>(pool.token));
+    seen.set("pool_jobs", labels, static_cast<double>(pool.jobs.size()));
+    seen.set("pool_queued_jobs", labels,
+             static_cast<double>(pool.queue.size()));
+    seen.set("pool_runs", labels, static_cast<double>(pool.placed.size()));
+    seen.set("pool_upstreams", labels,
+             static_cast<double>(pool.upstreams.size()));
+  }
+
   void execute(const event_note& effect) {
     metrics_.seen().count("events_total",
                           fmt::format("event=\"{}\"", effect.event));
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -2,7 +2,7 @@
 //
 // Both sides count their messages, so that the exchange of hellos shows when
 // some were lost; what is missing is then sent again. Owners know requests that
-// they have and only repeat results. When a zone's upstreams get another
+// they have and only repeat results. When a pool gets another
 // owner, the missing tasks are asked of it at once; it adopts those that run.
 #include "cyclamenwood/intake.h"
 
@@ -12,6 +12,8 @@
 #include <set>
 #include <utility>
 
+#include "cyclamenwood/pool_name.h"
+
 namespace cyclamenwood {
 namespace {
 
@@ -21,7 +23,7 @@
 // Missing results are asked for again after this time, whatever the counts of
 // messages say.
 constexpr int64_t RESEND_MS = 2'000;
-// Tasks that no zone could take so far look for one again: the interval of the
+// Tasks that no pool could take so far look for one again: the interval of the
 // news that tell of room.
 constexpr int64_t UNASSIGNED_RETRY_MS = 100;
 // For this long runs of an owner's predecessor may last: twice a lease.
@@ -77,8 +79,8 @@
 void drop_job(intake& intake, uint64_t submission, intake_output& out) {
   auto found = intake.jobs.find(submission);
   const intake_job& job = found->second;
-  for (const auto& [zone, token] : job.zones) {
-    auto grant = intake.grants.find(zone);
+  for (const auto& [name, token] : job.pools) {
+    auto grant = intake.grants.find(name);
     if (grant == intake.grants.end())
       continue;
     wire::envelope envelope;
@@ -89,11 +91,11 @@
   intake.jobs.erase(found);
 }
 
-// "zone/token" of each owner that got tasks.
+// "pool/token" of each owner that got tasks.
 std::string describe_owners(const intake_job& job) {
   std::string text;
-  for (const auto& [zone, token] : job.zones)
-    text += fmt::format("{}{}/{}", text.empty() ? "" : ",", zone, token);
+  for (const auto& [name, token] : job.pools)
+    text += fmt::format("{}{}/{}", text.empty() ? "" : ",", name, token);
   return text.empty() ? "none" : text;
 }
 
@@ -123,49 +125,59 @@
   drop_job(intake, submission, out);
 }
 
-// ---- Choice of zones --------------------------------------------------------
+// ---- Choice of pools --------------------------------------------------------
 
-// What the present owner of the zone has told; nothing when it has not yet.
-const known_pool* find_current(const intake& intake, const std::string& zone) {
-  auto pool = intake.pools.find(zone);
-  auto grant = intake.grants.find(zone);
+// What the present owner of the pool has told; nothing when it has not yet.
+const known_pool* find_current(const intake& intake, const std::string& name) {
+  auto pool = intake.pools.find(name);
+  auto grant = intake.grants.find(name);
   bool current = pool != intake.pools.end() && grant != intake.grants.end() &&
                  pool->second.token == grant->second.token();
   return current ? &pool->second : nullptr;
 }
 
-bool is_fresh(const intake& intake, const std::string& zone, unix_ms now) {
-  const known_pool* pool = find_current(intake, zone);
+bool is_fresh(const intake& intake, const std::string& name, unix_ms now) {
+  const known_pool* pool = find_current(intake, name);
   return pool != nullptr && now - pool->heard_ms <= POOL_SILENCE_MS;
 }
 
 // Zones for tasks of a step, and what is left of the room then.
 struct step_plan {
-  zone_plan zones;
-  zone_rooms rooms;
+  pool_plan pools;
+  pool_rooms rooms;
 };
 
-bool has_no_zone(const intake_task& task) {
-  return task.zone.empty();
+bool has_no_pool(const intake_task& task) {
+  return task.pool.empty();
+}
+
+pool_distance distance_to(const intake& intake, const std::string& name) {
+  const wire::owner_grant& grant = intake.grants.at(name);
+  if (grant.host() == intake.host)
+    return pool_distance::own_host;
+  return grant.zone() == intake.zone ? pool_distance::own_zone
+                                     : pool_distance::other_zone;
 }
 
-// For the tasks of the step that have no zone so far.
+// For the tasks of the step that have no pool so far.
 step_plan plan_step(const intake& intake,
                     const intake_job& job,
                     uint32_t index,
                     unix_ms now) {
   step_plan planned;
-  for (const auto& [zone, pool] : intake.pools) {
+  for (const auto& [name, pool] : intake.pools) {
     auto room = pool.rooms.find(job.queue.service);
-    if (is_fresh(intake, zone, now) && room != pool.rooms.end())
-      planned.rooms[zone] = room->second;
+    if (!is_fresh(intake, name, now) || room == pool.rooms.end())
+      continue;
+    planned.rooms[name] = room->second;
+    planned.rooms[name].distance = distance_to(intake, name);
   }
   const step_spec& step = job.job.steps[index];
   const std::vector<intake_task>& tasks = job.steps[index].tasks;
-  planned.zones = choose_zones(
-      planned.rooms, intake.zone,
+  planned.pools = choose_pools(
+      planned.rooms,
       {step.need.cpu_milli(), step.estimate_ms, job.queue.priority},
-      std::count_if(tasks.begin(), tasks.end(), has_no_zone));
+      std::count_if(tasks.begin(), tasks.end(), has_no_pool));
   return planned;
 }
 
@@ -173,10 +185,10 @@
                     intake_job& job,
                     uint32_t index,
                     step_plan planned) {
-  auto zone = planned.zones.zones.begin();
+  auto pool = planned.pools.pools.begin();
   for (intake_task& task : job.steps[index].tasks) {
-    if (has_no_zone(task) && zone != planned.zones.zones.end())
-      task.zone = *zone++;
+    if (has_no_pool(task) && pool != planned.pools.pools.end())
+      task.pool = *pool++;
   }
   for (auto& [name, room] : planned.rooms)
     intake.pools[name].rooms[job.queue.service] = std::move(room);
@@ -185,7 +197,7 @@
 // Whether a job that has not begun can't be served in time: not before its
 // caller leaves or, where more work comes than can be done, not within its
 // objective.
-bool comes_too_late(const intake_job& job, const zone_plan& plan, unix_ms now) {
+bool comes_too_late(const intake_job& job, const pool_plan& plan, unix_ms now) {
   unix_ms ends_ms = now + plan.wait_ms + longest_chain_ms(job.job);
   bool too_late = ends_ms > job.deadline_ms;
   bool past_aim = ends_ms > job.aim_ms;
@@ -196,21 +208,21 @@
 caller_outcome outcome_at_deadline(const intake& intake,
                                    const intake_job& job,
                                    unix_ms now) {
-  if (job.zones.empty())
+  if (job.pools.empty())
     return caller_outcome::refused;
   bool in_touch = std::all_of(
-      job.zones.begin(), job.zones.end(),
+      job.pools.begin(), job.pools.end(),
       [&](const auto& item) { return is_fresh(intake, item.first, now); });
   return in_touch ? caller_outcome::given_up : caller_outcome::unknown;
 }
 
 // ---- Sending ----------------------------------------------------------------
 
-// The step's tasks that the zone has and that have not ended.
+// The step's tasks that the pool has and that have not ended.
 wire::run_request make_request(const intake_job& job,
                                uint64_t submission,
                                uint32_t index,
-                               const std::string& zone,
+                               const std::string& pool,
                                unix_ms now) {
   const step_spec& step = job.job.steps[index];
   wire::run_request request;
@@ -219,7 +231,7 @@
   request.set_step(index);
   for (uint32_t task = 0; task < step.count; ++task) {
     const intake_task& state = job.steps[index].tasks[task];
-    if (!state.ended && state.zone == zone)
+    if (!state.ended && state.pool == pool)
       request.add_tasks(task);
   }
   request.set_spec(job.job.spec);
@@ -232,7 +244,7 @@
   request.set_estimate_ms(step.estimate_ms);
   request.set_aim_ms(job.aim_ms - now);
   request.set_remaining_ms(job.deadline_ms - now);
-  request.set_zone(zone);
+  request.set_pool(pool);
   return request;
 }
 
@@ -245,44 +257,44 @@
       [&job](uint32_t earlier) { return job.steps[earlier].missing == 0; });
 }
 
-// Sends a step's missing tasks that are in one zone to its owner.
-void send_to_zone(intake& intake,
+// Sends a step's missing tasks that are in one pool to its owner.
+void send_to_pool(intake& intake,
                   uint64_t submission,
                   uint32_t index,
-                  const std::string& zone,
+                  const std::string& name,
                   unix_ms now,
                   intake_output& out) {
   intake_job& job = intake.jobs.at(submission);
-  auto grant = intake.grants.find(zone);
+  auto grant = intake.grants.find(name);
   if (grant == intake.grants.end())
     return;
   wire::envelope envelope;
   wire::run_request& request = *envelope.mutable_run_request();
-  request = make_request(job, submission, index, zone, now);
+  request = make_request(job, submission, index, name, now);
   if (request.tasks().empty())
     return;
-  request.set_resumed(job.zones.contains(zone));
-  if (const known_pool* pool = find_current(intake, zone)) {
+  request.set_resumed(job.pools.contains(name));
+  if (const known_pool* pool = find_current(intake, name)) {
     request.set_echo_ms(pool->clock_ms);
     if (request.resumed())
       *request.mutable_former_upstreams() = {pool->former_upstreams.begin(),
                                              pool->former_upstreams.end()};
   }
-  ++intake.pools[zone].requests_sent;
-  job.zones[zone] = grant->second.token();
+  ++intake.pools[name].requests_sent;
+  job.pools[name] = grant->second.token();
   out.messages.emplace_back(grant->second.host(), std::move(envelope));
 }
 
-// Asks a zone's owner for what is missing.
+// Asks a pool's owner for what is missing.
 void ask_again(intake& intake,
-               const std::string& zone,
+               const std::string& name,
                unix_ms now,
                intake_output& out) {
   for (auto& [submission, job] : intake.jobs) {
-    if (!job.zones.contains(zone))
+    if (!job.pools.contains(name))
       continue;
     for (uint32_t index = 0; index < job.steps.size(); ++index)
-      send_to_zone(intake, submission, index, zone, now, out);
+      send_to_pool(intake, submission, index, name, now, out);
   }
 }
 
@@ -295,15 +307,15 @@
   intake_job& job = intake.jobs.at(submission);
   job.sent_ms = now;
   for (uint32_t index = 0; index < job.steps.size(); ++index) {
-    bool unsent = job.steps[index].tasks.front().zone.empty();
+    bool unsent = job.steps[index].tasks.front().pool.empty();
     if (!is_due(job, index) || !(unsent || all))
       continue;
     carry_out_plan(intake, job, index, plan_step(intake, job, index, now));
-    std::set<std::string> zones;
+    std::set<std::string> pools;
     for (const intake_task& task : job.steps[index].tasks)
-      zones.insert(task.zone);
-    for (const std::string& zone : zones)
-      send_to_zone(intake, submission, index, zone, now, out);
+      pools.insert(task.pool);
+    for (const std::string& name : pools)
+      send_to_pool(intake, submission, index, name, now, out);
   }
 }
 
@@ -367,9 +379,9 @@
   for (const step_spec& step : job.steps)
     added.steps.push_back({std::vector<intake_task>(step.count), step.count});
   step_plan first = plan_step(intake, added, 0, now);
-  if (comes_too_late(added, first.zones, now)) {
+  if (comes_too_late(added, first.pools, now)) {
     end_job(intake, submission, caller_outcome::refused, "no_room_in_time", now,
-            out, first.zones.wait_ms);
+            out, first.pools.wait_ms);
     return;
   }
   carry_out_plan(intake, added, 0, std::move(first));
@@ -451,22 +463,24 @@
   }
 }
 
-bool learn_grants(intake& intake, const wire::control_news& news) {
+bool learn_grants(intake& intake, const grant_list& grants) {
   bool changed = false;
-  for (const wire::owner_grant& grant : news.grants()) {
-    wire::owner_grant& known = intake.grants[grant.zone()];
+  for (const wire::owner_grant& grant : grants) {
+    std::string name = pool_name(grant);
+    wire::owner_grant& known = intake.grants[name];
     if (grant.token() <= known.token())
       continue;
     known = grant;
+    intake.have_token = std::max(intake.have_token, grant.token());
     changed = true;
     // The former owner may have started some of it.
     for (auto& [submission, job] : intake.jobs)
-      job.started = job.started || job.zones.contains(grant.zone());
+      job.started = job.started || job.pools.contains(name);
   }
   return changed;
 }
 
-// What is known of a zone whose owner has just changed.
+// What is known of a pool whose owner has just changed.
 static known_pool succeed(known_pool former, unix_ms now) {
   known_pool next;
   next.since_ms = now;
@@ -484,7 +498,7 @@
                const wire::pool_state& state,
                unix_ms now,
                intake_output& out) {
-  known_pool& pool = intake.pools[state.zone()];
+  known_pool& pool = intake.pools[state.pool()];
   bool is_new_owner = pool.token != state.token();
   if (is_new_owner)
     pool = succeed(std::move(pool), now);
@@ -501,14 +515,14 @@
   for (const wire::service_room& room : state.services())
     pool.rooms[room.service()] = read_room(room);
   if (is_new_owner || lost)
-    ask_again(intake, state.zone(), now, out);
+    ask_again(intake, state.pool(), now, out);
 }
 
 wire::pool_hello make_pool_hello(const intake& intake,
-                                 const std::string& zone) {
+                                 const std::string& name) {
   wire::pool_hello hello;
-  hello.set_zone(zone);
-  if (const known_pool* pool = find_current(intake, zone)) {
+  hello.set_pool(name);
+  if (const known_pool* pool = find_current(intake, name)) {
     hello.set_echo_ms(pool->clock_ms);
     hello.set_requests(pool->requests_sent);
     hello.set_have_upstreams(pool->upstreams_version);
@@ -521,11 +535,9 @@
                   const wire::run_results& results,
                   unix_ms now,
                   intake_output& out) {
-  for (auto& [zone, pool] : intake.pools) {
-    auto grant = intake.grants.find(zone);
-    if (grant != intake.grants.end() && grant->second.host() == from)
-      ++pool.results_received;
-  }
+  auto grant = intake.grants.find(results.pool());
+  if (grant != intake.grants.end() && grant->second.host() == from)
+    ++intake.pools[results.pool()].results_received;
   std::vector<uint64_t> touched;
   for (const wire::run_result& result : results.results()) {
     auto found = intake.jobs.find(result.submission());
@@ -552,7 +564,7 @@
               "attempts_used_up", now, out);
     } else {
       end_job(intake, result.submission(),
-              job.started || job.zones.size() > 1 ? caller_outcome::given_up
+              job.started || job.pools.size() > 1 ? caller_outcome::given_up
                                                   : caller_outcome::refused,
               "no_time_left", now, out);
     }
@@ -573,7 +585,7 @@
 }
 
 static int64_t resend_interval_ms(const intake_job& job) {
-  return job.zones.empty() ? UNASSIGNED_RETRY_MS : RESEND_MS;
+  return job.pools.empty() ? UNASSIGNED_RETRY_MS : RESEND_MS;
 }
 
 void tick_intake(intake& intake, unix_ms now, intake_output& out) {
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -1,6 +1,6 @@
 // The callers' part of an entry host: jobs that wait for their answer here.
 //
-// A job's steps are sent to the owner of an availability zone's upstreams, its
+// A job's steps are sent to the owners of pools of upstreams (pool_name.h), its
 // tasks are reported back one by one, and the caller is answered when all have
 // ended. Nothing is stored: a job lives as long as its caller's connection.
 //
@@ -9,7 +9,7 @@
 //   call_arrived(intake, call, now, out);
 //   ... run results, pool states, grants, ticks ...
 //
-// Each task goes to the availability zone that zone_choice.h names.
+// Each task goes to the pool that pool_choice.h names.
 #ifndef CYCLAMENWOOD_INTAKE_H_
 #define CYCLAMENWOOD_INTAKE_H_
 
@@ -19,10 +19,10 @@
 #include <vector>
 
 #include "cyclamenwood/error.h"
+#include "cyclamenwood/pool_choice.h"
 #include "cyclamenwood/route_table.h"
 #include "cyclamenwood/types.h"
 #include "cyclamenwood/wire.pb.h"
-#include "cyclamenwood/zone_choice.h"
 
 namespace cyclamenwood {
 
@@ -97,7 +97,7 @@
 struct intake_task {
   bool ended = false;
   // Where it was sent; empty: nowhere so far.
-  std::string zone;
+  std::string pool;
 };
 
 struct intake_step {
@@ -115,14 +115,16 @@
   unix_ms arrived_ms = 0;
   unix_ms deadline_ms = 0;
   unix_ms aim_ms = 0;
-  // Zones that tasks were sent to, with their owners' tokens then.
-  std::map<std::string, uint64_t> zones;
+  // Pools that tasks were sent to, with their owners' tokens then.
+  std::map<std::string, uint64_t> pools;
   unix_ms sent_ms = 0;
   // A task may have begun.
   bool started = false;
 };
 
-// What is known of the pool of one zone.
+using grant_list = google::protobuf::RepeatedPtrField<wire::owner_grant>;
+
+// What is known of one pool.
 struct known_pool {
   uint64_t token = 0;
   unix_ms heard_ms = 0;
@@ -139,18 +141,22 @@
   std::vector<std::string> upstreams;
   std::vector<std::string> former_upstreams;
   // By service.
-  std::map<std::string, zone_room> rooms;
+  std::map<std::string, pool_room> rooms;
 };
 
 struct intake {
   std::string zone;
+  // This process, as grants name it.
+  std::string host;
   uint64_t next_submission = 1;
   // The process ends then: what is open is answered, and calls whose job may
   // not end before are refused.
   unix_ms answer_by_ms = INT64_MAX;
   std::optional<route_table> routes;
-  // By zone.
+  // By the pool's name.
   std::map<std::string, wire::owner_grant> grants;
+  // The highest token among them.
+  uint64_t have_token = 0;
   std::map<std::string, known_pool> pools;
   std::map<uint64_t, intake_job> jobs;
   // Submissions by the job's id.
@@ -171,14 +177,14 @@
 void caller_left(intake& intake, uint64_t exchange, intake_output& out);
 
 // Returns whether an owner changed: it is to be greeted at once.
-bool learn_grants(intake& intake, const wire::control_news& news);
+bool learn_grants(intake& intake, const grant_list& grants);
 void hear_pool(intake& intake,
                const wire::pool_state& state,
                unix_ms now,
                intake_output& out);
 
-// What this entry host says to the owner of a zone a few times a second.
-wire::pool_hello make_pool_hello(const intake& intake, const std::string& zone);
+// What this entry host says to the owner of a pool a few times a second.
+wire::pool_hello make_pool_hello(const intake& intake, const std::string& name);
 void take_results(intake& intake,
                   const std::string& from,
                   const wire::run_results& results,
--- /dev/null
+++ b/cyclamenwood/neighbours.cc
@@ -0,0 +1,62 @@
+// A host's place in its zone is that of its first own shard; one without a
+// shard takes its place by a hash of its name.
+#include "cyclamenwood/neighbours.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "cyclamenwood/pool_name.h"
+#include "cyclamenwood/types.h"
+
+namespace cyclamenwood {
+namespace {
+
+using zone_pools = std::map<std::string, std::vector<const wire::owner_grant*>>;
+
+zone_pools sort_by_zone(
+    const std::map<std::string, wire::owner_grant>& grants) {
+  zone_pools zones;
+  for (const auto& [name, grant] : grants)
+    zones[grant.zone()].push_back(&grant);
+  for (auto& [zone, pools] : zones) {
+    std::sort(pools.begin(), pools.end(), [](const auto* a, const auto* b) {
+      return a->shard() < b->shard();
+    });
+  }
+  return zones;
+}
+
+size_t place_of(const std::vector<const wire::owner_grant*>& pools,
+                const std::string& host) {
+  auto own =
+      std::find_if(pools.begin(), pools.end(),
+                   [&host](const auto* pool) { return pool->host() == host; });
+  if (own != pools.end())
+    return own - pools.begin();
+  return stable_hash(host) % std::max<size_t>(pools.size(), 1);
+}
+
+}  // namespace
+
+std::set<std::string> choose_neighbours(
+    const std::map<std::string, wire::owner_grant>& grants,
+    const std::string& zone,
+    const std::string& host) {
+  std::set<std::string> chosen;
+  zone_pools zones = sort_by_zone(grants);
+  size_t place = place_of(zones[zone], host);
+  for (const auto& [other, pools] : zones) {
+    size_t wanted = other == zone ? ZONE_NEIGHBOURS + 1 : 1;
+    if (grants.size() <= GREET_ALL_UP_TO)
+      wanted = pools.size();
+    for (size_t i = 0; i < std::min(wanted, pools.size()); ++i)
+      chosen.insert(pool_name(*pools[(place + i) % pools.size()]));
+    for (const wire::owner_grant* pool : pools) {
+      if (pool->host() == host)
+        chosen.insert(pool_name(*pool));
+    }
+  }
+  return chosen;
+}
+
+}  // namespace cyclamenwood
--- a/cyclamenwood/owner_policy.cc
+++ b/cyclamenwood/owner_policy.cc
@@ -1,7 +1,15 @@
-// The process heard of for the longest is taken: those just restarted are the
+// Each zone is looked at by itself: its shards whose owner is kept are counted
+// for their owners, the others go to whoever has the fewest. Among equals the
+// process heard of for the longest is taken: those just restarted are the
 // likeliest to be restarted again.
 #include "cyclamenwood/owner_policy.h"
 
+#include <algorithm>
+#include <optional>
+#include <set>
+
+#include "cyclamenwood/pool_name.h"
+
 namespace cyclamenwood {
 namespace {
 
@@ -22,31 +30,120 @@
          (is_alive(owner, now) || !can_tell_silence);
 }
 
-}  // namespace
+// The entry hosts of a zone that may own, and how many shards each does.
+using zone_owners = std::map<std::string, size_t>;
+
+zone_owners find_candidates(const entry_host_map& hosts,
+                            const std::string& zone,
+                            unix_ms now) {
+  zone_owners owners;
+  for (const auto& [name, host] : hosts) {
+    if (host.zone == zone && is_alive(host, now) && !host.draining)
+      owners[name] = 0;
+  }
+  return owners;
+}
+
+// Fewest shards first, then heard of for the longest.
+const std::string& choose_least(const zone_owners& owners,
+                                const entry_host_map& hosts) {
+  auto least = std::min_element(
+      owners.begin(), owners.end(), [&hosts](const auto& a, const auto& b) {
+        return std::pair(a.second, hosts.at(a.first).first_heard_ms) <
+               std::pair(b.second, hosts.at(b.first).first_heard_ms);
+      });
+  return least->first;
+}
+
+// Nothing before the zone's first owners may be chosen.
+std::optional<uint32_t> count_shards(const control_log& log,
+                                     const std::string& zone,
+                                     size_t candidates,
+                                     int64_t listened_ms,
+                                     const owner_policy_options& options) {
+  if (const wire::owner_grant* first = find_grant(log, zone))
+    return shards_of(*first);
+  if (listened_ms < options.founding_ms)
+    return std::nullopt;
+  return candidates < options.split_from_hosts
+             ? 1
+             : static_cast<uint32_t>(candidates);
+}
 
-std::vector<wire::owner_grant> choose_owners(const control_log& log,
+wire::owner_grant make_grant(const std::string& zone,
+                             uint32_t shard,
+                             uint32_t shards,
+                             const std::string& host,
+                             const entry_host_map& hosts) {
+  wire::owner_grant grant;
+  grant.set_zone(zone);
+  grant.set_shard(shard);
+  grant.set_shards(shards);
+  grant.set_host(host);
+  grant.set_incarnation(hosts.at(host).incarnation);
+  return grant;
+}
+
+// A shard of whoever has the most, for one that has two fewer.
+std::optional<wire::owner_grant> choose_move(const control_log& log,
+                                             const std::string& zone,
+                                             uint32_t shards,
+                                             const zone_owners& owners,
                                              const entry_host_map& hosts,
-                                             unix_ms listening_since_ms,
                                              unix_ms now) {
-  std::map<std::string, std::string> best;
-  for (const auto& [name, host] : hosts) {
-    if (!is_alive(host, now) || host.draining)
-      continue;
-    auto [found, added] = best.try_emplace(host.zone, name);
-    const known_entry_host& other = hosts.at(found->second);
-    if (!added && host.first_heard_ms < other.first_heard_ms)
-      found->second = name;
+  const std::string& least = choose_least(owners, hosts);
+  if (now - hosts.at(least).first_heard_ms < SETTLED_MS)
+    return std::nullopt;
+  auto most = std::max_element(
+      owners.begin(), owners.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (most->second < owners.at(least) + 2)
+    return std::nullopt;
+  for (uint32_t shard = 0; shard < shards; ++shard) {
+    const wire::owner_grant* grant = find_grant(log, zone, shard);
+    if (grant != nullptr && grant->host() == most->first)
+      return make_grant(zone, shard, shards, least, hosts);
   }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::vector<wire::owner_grant> choose_owners(
+    const control_log& log,
+    const entry_host_map& hosts,
+    unix_ms listening_since_ms,
+    unix_ms now,
+    const owner_policy_options& options) {
   std::vector<wire::owner_grant> wanted;
-  for (const auto& [zone, name] : best) {
-    const wire::owner_grant* grant = find_grant(log, zone);
-    if (grant != nullptr && is_kept(*grant, hosts, listening_since_ms, now))
+  std::set<std::string> zones;
+  for (const auto& [name, host] : hosts)
+    zones.insert(host.zone);
+  for (const std::string& zone : zones) {
+    zone_owners owners = find_candidates(hosts, zone, now);
+    if (owners.empty())
+      continue;
+    std::optional<uint32_t> shards = count_shards(
+        log, zone, owners.size(), now - listening_since_ms, options);
+    if (!shards)
+      continue;
+    std::vector<uint32_t> open;
+    for (uint32_t shard = 0; shard < *shards; ++shard) {
+      const wire::owner_grant* grant = find_grant(log, zone, shard);
+      if (grant == nullptr || !is_kept(*grant, hosts, listening_since_ms, now))
+        open.push_back(shard);
+      else if (owners.contains(grant->host()))
+        ++owners[grant->host()];
+    }
+    for (uint32_t shard : open) {
+      const std::string& host = choose_least(owners, hosts);
+      wanted.push_back(make_grant(zone, shard, *shards, host, hosts));
+      ++owners[host];
+    }
+    if (!open.empty())
       continue;
-    wire::owner_grant next;
-    next.set_zone(zone);
-    next.set_host(name);
-    next.set_incarnation(hosts.at(name).incarnation);
-    wanted.push_back(std::move(next));
+    if (auto move = choose_move(log, zone, *shards, owners, hosts, now))
+      wanted.push_back(std::move(*move));
   }
   return wanted;
 }
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -1,10 +1,15 @@
-// Decides which entry host shall own each availability zone's upstreams.
+// Decides which entry host shall own which shard of each availability zone's
+// upstreams.
 //
 // Only a process of the zone itself is chosen, so that a zone that is cut off
-// keeps its owner. An owner is replaced when it was restarted or drains, or
+// keeps its owners. An owner is replaced when it was restarted or drains, or
 // when it has not been heard for OWNER_SILENCE_MS, and a process of its zone
 // can take over. Who has been listening for a shorter time can't tell silence
 // and leaves silent owners alone.
+//
+// A zone gets as many shards as it has entry hosts when it gets its first
+// owner, or one when they are few; that number stays. Shards are spread evenly
+// over the zone's entry hosts, and moved one at a time when one has none.
 #ifndef CYCLAMENWOOD_OWNER_POLICY_H_
 #define CYCLAMENWOOD_OWNER_POLICY_H_
 
@@ -20,6 +25,19 @@
 // An owner that was silent for this long is replaced: three hellos in a row
 // missed. Shorter than a run's lease, so that its runs may still be adopted.
 constexpr int64_t OWNER_SILENCE_MS = 700;
+// An entry host heard of for this long may be given a shard that another one
+// has: longer than a lease and than a takeover, so that moves stay rare.
+constexpr int64_t SETTLED_MS = 3'000;
+
+struct owner_policy_options {
+  // A zone with fewer entry hosts has one pool, which queues best. At five, one
+  // owner would spend half its processor on the zone's upstreams
+  // (docs/CAPACITY.md).
+  size_t split_from_hosts = 5;
+  // A zone gets its first owners after listening for this long: by then its
+  // entry hosts have been heard, which sets the number of shards.
+  int64_t founding_ms = 1'000;
+};
 
 // What a replica knows of one entry host.
 struct known_entry_host {
@@ -32,16 +50,20 @@
   unix_ms told_hosts_ms = 0;
   uint64_t sent_version = 0;
   uint64_t sent_change = 0;
+  // Of its last hello: it has all grants up to this token.
+  uint64_t have_token = 0;
 };
 
 using entry_host_map = std::map<std::string, known_entry_host>;
 
 // Grants to propose now; tokens are not set. `listening_since_ms`: from when
 // on every hello has been heard.
-std::vector<wire::owner_grant> choose_owners(const control_log& log,
-                                             const entry_host_map& hosts,
-                                             unix_ms listening_since_ms,
-                                             unix_ms now);
+std::vector<wire::owner_grant> choose_owners(
+    const control_log& log,
+    const entry_host_map& hosts,
+    unix_ms listening_since_ms,
+    unix_ms now,
+    const owner_policy_options& options = {});
 
 }  // namespace cyclamenwood
 
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -1,5 +1,5 @@
-// The owner's part of an entry host: the upstreams of one availability zone
-// and the tasks that run on them.
+// The owner's part of an entry host: one pool of upstreams, which are those of
+// an availability zone or of a shard of it, and the tasks that run on them.
 //
 // A pool takes requests for tasks from entry hosts, queues them, places them
 // where there is room, starts them under leases and reports how they ended.
@@ -174,13 +174,16 @@
 };
 
 struct pool {
-  std::string zone;
+  // See pool_name.h.
+  std::string name;
   pool_options options;
   // 0: not the owner.
   uint64_t token = 0;
   // The highest token ever held: one that was lost is never used again.
   uint64_t highest_token = 0;
   unix_ms owned_since_ms = 0;
+  // Numbers hold the token in their upper half, so that those of different
+  // pools and of former grants are told apart.
   uint64_t next_order = 1;
   // Orders under way: the upstream and, but for holds, the task.
   std::map<uint64_t, run_order> orders;
@@ -218,6 +221,8 @@
 };
 
 void own_pool(pool& pool, uint64_t token, unix_ms now, pool_output& out);
+// The token under which an order was numbered.
+uint64_t token_of_order(uint64_t order);
 // Forgets all: another process owns the upstreams.
 void disown_pool(pool& pool);
 
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -244,7 +244,7 @@
 
 wire::pool_state describe_pool(const pool& pool, unix_ms now) {
   wire::pool_state described;
-  described.set_zone(pool.zone);
+  described.set_pool(pool.name);
   described.set_token(pool.token);
   described.set_clock_ms(now);
   std::map<std::string, wire::service_room> rooms;
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -33,6 +33,8 @@
 constexpr int64_t LEASE_MARGIN_MS = 30;
 // Upstreams announce themselves at least this often.
 constexpr int64_t FORGET_MS = 20'000;
+// Of an order's number: orders under one token.
+constexpr int ORDER_BITS = 32;
 
 int64_t lease_deadline(const pool& pool,
                        leased_upstream& upstream,
@@ -547,13 +549,18 @@
     send_hold(pool, known, 0, now, out);
 }
 
+uint64_t token_of_order(uint64_t order) {
+  return order >> ORDER_BITS;
+}
+
 void own_pool(pool& pool, uint64_t token, unix_ms now, pool_output& out) {
   disown_pool(pool);
   pool.token = token;
   pool.highest_token = token;
+  pool.next_order = (token << ORDER_BITS) + 1;
   pool.owned_since_ms = now;
   out.notes.push_back({"ownership_taken",
-                       fmt::format("zone={} token={} upstreams={}", pool.zone,
+                       fmt::format("pool={} token={} upstreams={}", pool.name,
                                    token, pool.upstreams.size())});
   for (auto& [id, upstream] : pool.upstreams) {
     upstream.heard_ms = now;
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 
+#include "cyclamenwood/pool_name.h"
 #include "cyclamenwood/replica_internal.h"
 
 namespace cyclamenwood {
@@ -26,6 +27,8 @@
 // Entry hosts say hello a few times a second.
 constexpr int64_t ENTRY_HOST_EXPIRY_MS = 5'000;
 constexpr int64_t PEERS_INTERVAL_MS = 1'000;
+// Entry hosts and replicas start together and connect within a second or two.
+constexpr int64_t FOUNDING_MS = 3'000;
 // Entry hosts need the list of the others only when no replica is in reach.
 constexpr int64_t HOSTS_INTERVAL_MS = 1'000;
 
@@ -106,7 +109,10 @@
   wire::control_news& news = *envelope.mutable_control_news();
   if (table.latest().version() > reader.sent_version)
     *news.mutable_latest() = table.latest();
-  *news.mutable_grants() = table.grants();
+  for (const wire::owner_grant& grant : table.grants()) {
+    if (grant.token() > reader.have_token)
+      *news.add_grants() = grant;
+  }
   for (const std::string& replica : known_replicas(state))
     news.add_replicas(replica);
   add_changes(state.control->directory, reader.zone, reader.sent_change, news);
@@ -139,10 +145,10 @@
   if (!raft_leader_ready(group.raft) || open)
     return;
   raft_output result;
-  for (wire::owner_grant& grant :
-       choose_owners(log_of(group), control.entry_hosts,
-                     control.listening_since_ms, now)) {
-    note(out, "owner_proposed", grant.zone(),
+  for (wire::owner_grant& grant : choose_owners(
+           log_of(group), control.entry_hosts, control.listening_since_ms, now,
+           {.founding_ms = FOUNDING_MS})) {
+    note(out, "owner_proposed", pool_name(grant),
          fmt::format("host={} incarnation={:016x}", grant.host(),
                      grant.incarnation()));
     wire::command command;
@@ -257,7 +263,7 @@
                      log.table.latest().version()));
   } else if (command.has_grant()) {
     apply_grant(log, command.grant());
-    note(out, "owner_granted", command.grant().zone(),
+    note(out, "owner_granted", pool_name(command.grant()),
          fmt::format("host={} token={}", command.grant().host(),
                      log.table.last_token()));
   } else if (command.has_members()) {
@@ -295,6 +301,7 @@
   bool same_life = hello.directory() == state.control->directory.life;
   host.sent_version = hello.have_version();
   host.sent_change = same_life ? hello.have_change() : 0;
+  host.have_token = hello.have_token();
   send_news(state, control_group(state), envelope.from(), host, out);
   tell_entry_hosts(state, envelope.from(), host, now, out);
 }
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -32,6 +32,8 @@
 }  // namespace
 
 host_model::host_model(uint64_t seed) : random_(seed) {
+  if (seed % 2 == 0)
+    owner_policy_.split_from_hosts = 2;
   for (const char* zone : {"kranj", "vic"}) {
     for (int i = 1; i <= 2; ++i) {
       std::string name = fmt::format("{}-{}", zone, i);
@@ -234,8 +236,11 @@
 }
 
 void host_model::execute(host& /*from*/, const event_note& note) {
-  if (note.event == "ownership_taken")
-    ++counts_.takeovers;
+  if (note.event != "ownership_taken")
+    return;
+  ++counts_.takeovers;
+  bool of_shard = note.details.find('/') != std::string::npos;
+  counts_.shard_takeovers += of_shard ? 1 : 0;
 }
 
 void host_model::execute(host& from, const host_effect& effect) {
@@ -343,25 +348,30 @@
     return;
   grants_at_ms_ = now_ + 100;
   for (const wire::owner_grant& grant :
-       choose_owners(control_, heard_, 0, now_))
+       choose_owners(control_, heard_, 0, now_, owner_policy_))
     apply_grant(control_, grant);
   for (const auto& [name, host] : hosts_)
     send_news(name);
 }
 
-// The room that pools keep count of against the simple sum.
+// The room that a pool keeps count of against the simple sum.
+void host_model::check_room(const pool& pool) {
+  for (const auto& [id, upstream] : pool.upstreams) {
+    int64_t sum = 0;
+    for (const auto& [task, run] : upstream.runs)
+      sum += run.need.cpu_milli();
+    if (sum != upstream.used.cpu_milli)
+      fail(fmt::format("{} counts {} of {} used on {}", pool.name,
+                       upstream.used.cpu_milli, sum, id));
+  }
+}
+
 void host_model::check_room() {
   for (const auto& [name, host] : hosts_) {
     if (!host.state)
       continue;
-    for (const auto& [id, upstream] : host.state->upstreams.upstreams) {
-      int64_t sum = 0;
-      for (const auto& [task, run] : upstream.runs)
-        sum += run.need.cpu_milli();
-      if (sum != upstream.used.cpu_milli)
-        fail(fmt::format("{} counts {} of {} used on {}", name,
-                         upstream.used.cpu_milli, sum, id));
-    }
+    for (const auto& [pool_name, pool] : host.state->pools)
+      check_room(pool);
   }
 }
 
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -24,6 +24,8 @@
   uint64_t refused = 0;
   uint64_t resends = 0;
   uint64_t takeovers = 0;
+  // Of them, those of a shard of several.
+  uint64_t shard_takeovers = 0;
   uint64_t late_orders = 0;
   uint64_t crashes = 0;
   uint64_t freezes = 0;
@@ -100,11 +102,14 @@
   void crash(host& host);
   void submit(caller_job& job);
   void check();
+  void check_room(const pool& pool);
   void check_room();
   void fail(const std::string& what);
   fake_upstream* find_upstream(const std::string& id);
 
   std::mt19937_64 random_;
+  // Every other seed splits each zone into two shards.
+  owner_policy_options owner_policy_;
   unix_ms now_ = 1'000'000;
   bool faulty_ = true;
   std::map<std::string, host> hosts_;
--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -28,6 +28,7 @@
     sum.refused += model.counts().refused;
     sum.resends += model.counts().resends;
     sum.takeovers += model.counts().takeovers;
+    sum.shard_takeovers += model.counts().shard_takeovers;
     sum.late_orders += model.counts().late_orders;
     sum.crashes += model.counts().crashes;
     sum.freezes += model.counts().freezes;
@@ -36,6 +37,7 @@
   EXPECT_GT(sum.refused, 0U);
   EXPECT_GT(sum.resends, 20U);
   EXPECT_GT(sum.takeovers, 60U);
+  EXPECT_GT(sum.shard_takeovers, 60U);
   EXPECT_GT(sum.late_orders, 50U);
   EXPECT_GT(sum.crashes, 50U);
   EXPECT_GT(sum.freezes, 50U);
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -50,14 +50,14 @@
     added.set_zone(zone);
     added.set_host(host);
     added.set_token(token);
-    learn_grants(state, news);
+    learn_grants(state, news.grants());
   }
 
   void tell_room(const std::string& zone,
                  uint64_t token,
                  const std::vector<uint32_t>& free) {
     wire::pool_state told;
-    told.set_zone(zone);
+    told.set_pool(zone);
     told.set_token(token);
     told.set_clock_ms(now - 7);
     wire::service_room& room = *told.add_services();
@@ -153,7 +153,7 @@
   EXPECT_FALSE(requests("e1").at(0).resumed());
   EXPECT_EQ(requests("e1").at(0).echo_ms(), now - 7);
   wire::pool_state told;
-  told.set_zone("kranj");
+  told.set_pool("kranj");
   told.set_token(1);
   told.set_requests_lost(true);
   hear_pool(state, told, now, out);
@@ -166,7 +166,7 @@
 TEST_F(intake_fixture, upstreams_of_owners_of_a_moment_ago_are_not_forgotten) {
   auto tell = [this](uint64_t token, std::vector<std::string> ids) {
     wire::pool_state told;
-    told.set_zone("kranj");
+    told.set_pool("kranj");
     told.set_token(token);
     told.set_upstreams_version(token);
     *told.mutable_upstreams() = {ids.begin(), ids.end()};
@@ -202,7 +202,7 @@
   EXPECT_EQ(requests("e1").size(), 1U);
   // The owner has sent a result that did not arrive.
   wire::pool_state told;
-  told.set_zone("kranj");
+  told.set_pool("kranj");
   told.set_token(1);
   told.set_results(1);
   hear_pool(state, told, now, out);
@@ -320,7 +320,7 @@
 TEST_F(intake_fixture, a_job_that_would_wait_too_long_is_refused_on_arrival) {
   for (const char* zone : {"kranj", "vic"}) {
     wire::pool_state told;
-    told.set_zone(zone);
+    told.set_pool(zone);
     told.set_token(zone == std::string("kranj") ? 1 : 2);
     wire::service_room& room = *told.add_services();
     room.set_service("fit-desk");
@@ -339,41 +339,41 @@
   EXPECT_EQ(out.answers.size(), 1U);
 }
 
-TEST(zone_choice, pieces_smaller_than_the_task_are_no_room) {
-  zone_rooms rooms;
+TEST(pool_choice, pieces_smaller_than_the_task_are_no_room) {
+  pool_rooms rooms;
   rooms["own"].free_cpu_milli = {600, 600, 600};
   rooms["own"].total_cpu_milli = 3000;
   rooms["other"].free_cpu_milli = {1000};
   rooms["other"].total_cpu_milli = 3000;
-  zone_plan plan = choose_zones(rooms, "own", {1000, 100}, 1);
-  EXPECT_EQ(plan.zones, std::vector<std::string>{"other"});
+  pool_plan plan = choose_pools(rooms, {1000, 100}, 1);
+  EXPECT_EQ(plan.pools, std::vector<std::string>{"other"});
   EXPECT_EQ(plan.wait_ms, 0);
 }
 
-TEST(zone_choice, without_room_the_shortest_queue_is_taken) {
-  zone_rooms rooms;
-  rooms["own"] = {{}, {{0, 500'000}}, 1000, false};
+TEST(pool_choice, without_room_the_shortest_queue_is_taken) {
+  pool_rooms rooms;
+  rooms["own"] = {{}, {{0, 500'000}}, 1000, false, pool_distance::own_zone};
   rooms["other"] = {{}, {{0, 100'000}}, 1000, false};
-  zone_plan plan = choose_zones(rooms, "own", {1000, 200}, 3);
+  pool_plan plan = choose_pools(rooms, {1000, 200}, 3);
   // 100 ms of queue, then 300 ms, then as much as in the own zone.
-  EXPECT_EQ(plan.zones, (std::vector<std::string>{"other", "other", "own"}));
+  EXPECT_EQ(plan.pools, (std::vector<std::string>{"other", "other", "own"}));
   EXPECT_EQ(plan.wait_ms, 500);
-  plan = choose_zones(rooms, "own", {1000, 200}, 1);
-  EXPECT_EQ(plan.zones, std::vector<std::string>{"other"});
+  plan = choose_pools(rooms, {1000, 200}, 1);
+  EXPECT_EQ(plan.pools, std::vector<std::string>{"other"});
 }
 
-TEST(zone_choice, only_what_goes_before_a_task_makes_it_wait) {
-  zone_rooms rooms;
+TEST(pool_choice, only_what_goes_before_a_task_makes_it_wait) {
+  pool_rooms rooms;
   rooms["own"] = {{}, {{0, 100'000}, {1, 700'000}}, 1000, true};
-  EXPECT_EQ(choose_zones(rooms, "own", {1000, 10, 0}, 1).wait_ms, 100);
-  zone_plan behind = choose_zones(rooms, "own", {1000, 10, 1}, 1);
+  EXPECT_EQ(choose_pools(rooms, {1000, 10, 0}, 1).wait_ms, 100);
+  pool_plan behind = choose_pools(rooms, {1000, 10, 1}, 1);
   EXPECT_EQ(behind.wait_ms, 810);
   EXPECT_TRUE(behind.overloaded);
 }
 
-TEST(zone_choice, nothing_known_gives_nothing) {
-  zone_rooms rooms;
-  EXPECT_TRUE(choose_zones(rooms, "own", {1000, 100}, 2).zones.empty());
+TEST(pool_choice, nothing_known_gives_nothing) {
+  pool_rooms rooms;
+  EXPECT_TRUE(choose_pools(rooms, {1000, 100}, 2).pools.empty());
 }
 
 TEST(route_table, the_longest_prefix_of_the_host_wins) {
@@ -431,10 +431,10 @@
   grant.set_incarnation(1);
   grant.set_token(5);
   reduce(state, host_received{1000, envelope});
-  EXPECT_EQ(state.upstreams.token, 5U);
-  disown_pool(state.upstreams);
+  EXPECT_EQ(state.pools.at("kranj").token, 5U);
+  disown_pool(state.pools.at("kranj"));
   reduce(state, host_received{1100, envelope});
-  EXPECT_EQ(state.upstreams.token, 0U);
+  EXPECT_EQ(state.pools.at("kranj").token, 0U);
 }
 
 // No replica can be reached, and one entry host was started again: it learns
--- a/cyclamenwood/testing/pool_fixture.h
+++ b/cyclamenwood/testing/pool_fixture.h
@@ -24,7 +24,7 @@
 // holds answered when something ended or their wait is over.
 class pool_fixture : public testing::Test {
  protected:
-  pool_fixture() { state.zone = "kranj"; }
+  pool_fixture() { state.name = "kranj"; }
 
   fake_upstream& add_upstream(const std::string& id, uint32_t cpu = 2000) {
     upstreams.emplace_back(id, "kranj", cpu, 500'000, RUN_MS);
--- a/cyclamenwood/testing/pool_load_test.cc
+++ b/cyclamenwood/testing/pool_load_test.cc
@@ -174,7 +174,7 @@
   ASSERT_EQ(hidden.runs().size(), 1U);
   // Another process takes over and knows only u2.
   state = {};
-  state.zone = "kranj";
+  state.name = "kranj";
   waiting.clear();
   fake_upstream& other = add_upstream("u2");
   own(2);
