Any replica acknowledges a configuration that is in force already

Change: what is not newer than what a replica knows to be committed is acknowledged by it at once; it changes nothing.

Ruled out: the split of zones, which the small sites do not have.

Test: control_fixture.a_follower_acknowledges_what_is_in_force, fails first. Conclusion: fewer steps an attempt; with most acknowledgements lost on their way luck stays part of it.

--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -1,7 +1,9 @@
 // The control log's part of a replica: operators' requests, grants of
 // ownership, and news for the entry hosts.
 //
-// A configuration is acknowledged when its entry is committed. A read proposes
+// A configuration is acknowledged when its entry is committed. One that is not
+// newer than what this replica knows to be committed changes nothing and is
+// acknowledged at once, by any replica. A read proposes
 // an entry of its own and is answered when that is committed: then a majority
 // has confirmed, after the read came, that this replica leads, so that one
 // frozen or cut off can't show an older configuration.
@@ -320,6 +322,15 @@
 void offer_config(replica_state& state,
                   const replica_config_offered& event,
                   outbox& out) {
+  const wire::control_table& table = log_of(control_group(state)).table;
+  if (table.has_latest() &&
+      table.latest().version() >= event.latest.version()) {
+    note(out, "config_known", control_group(state).raft.name,
+         fmt::format("version={} newest={}", event.latest.version(),
+                     table.latest().version()));
+    answer(out, event.exchange, operator_outcome::accepted);
+    return;
+  }
   wire::command command;
   command.set_stamp_ms(event.now);
   *command.mutable_latest() = event.latest;
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -294,6 +294,24 @@
   EXPECT_EQ(answers.at(5).content, "six");
 }
 
+// Acknowledgements get lost and the operator asks other replicas first: one
+// that knows the version to be in force need not send it to the leader.
+TEST_F(control_fixture, a_follower_acknowledges_what_is_in_force) {
+  run_for(3000);
+  feed(leader(), replica_config_offered{now, 1, make_config(5, "five")});
+  run_for(400);
+  ASSERT_EQ(answers.at(1).outcome, operator_outcome::accepted);
+  std::string follower =
+      leader() == "10.0.0.1:7" ? "10.0.0.2:7" : "10.0.0.1:7";
+  feed(follower, replica_config_offered{now, 2, make_config(5, "five")});
+  ASSERT_TRUE(answers.contains(2));
+  EXPECT_EQ(answers.at(2).outcome, operator_outcome::accepted);
+  feed(follower, replica_config_offered{now, 3, make_config(4, "four")});
+  EXPECT_EQ(answers.at(3).outcome, operator_outcome::accepted);
+  feed(follower, replica_config_offered{now, 4, make_config(6, "six")});
+  EXPECT_EQ(answers.at(4).outcome, operator_outcome::redirected);
+}
+
 TEST_F(control_fixture, an_owner_is_granted_and_replaced_when_silent) {
   for (int i = 0; i < 200; ++i) {
     hello("e1", "kranj");
