--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -48,7 +48,11 @@
   unix_ms heard_ms = 0;
   // When it was last told of the other entry hosts.
   unix_ms told_hosts_ms = 0;
+  // The configuration that it has, as of its last hello, and the one that was
+  // sent last, and when.
+  uint64_t have_version = 0;
   uint64_t sent_version = 0;
+  unix_ms config_sent_ms = 0;
   uint64_t sent_change = 0;
   // Of its last hello: it has all grants up to this token.
   uint64_t have_token = 0;
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -209,6 +209,8 @@
   // Index of the newest grant proposed; one round of grants at a time.
   uint64_t grants_index = 0;
   unix_ms peers_at_ms = 0;
+  // When the configuration in force came to be so here.
+  unix_ms latest_since_ms = 0;
 };
 
 struct replica_state {
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -9,7 +9,10 @@
 // frozen or cut off can't show an older configuration.
 //
 // News go at once to every entry host heard of lately; each hello says what
-// arrived, and what is missing is sent again.
+// arrived, and what is missing is sent again. A configuration is large and
+// every replica has it: the leader sends it, the others only to those that do
+// not have it some time later, and none sends it again before it can have
+// arrived.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -31,6 +34,11 @@
 constexpr int64_t PEERS_INTERVAL_MS = 1'000;
 // Entry hosts and replicas start together and connect within a second or two.
 constexpr int64_t FOUNDING_MS = 3'000;
+// The leader's message and the hello that follows it take about 250 ms.
+constexpr int64_t FOLLOWER_PATIENCE_MS = 400;
+// A configuration on its way through a busy link is not sent again: twice the
+// interval of hellos.
+constexpr int64_t CONFIG_RESEND_MS = 400;
 // Entry hosts need the list of the others only when no replica is in reach.
 constexpr int64_t HOSTS_INTERVAL_MS = 1'000;
 
@@ -101,16 +109,30 @@
   return all;
 }
 
-void send_news(const replica_state& state,
-               const replica_group& group,
-               const std::string& to,
-               known_entry_host& reader,
-               outbox& out) {
+bool is_config_due(const replica_state& state,
+                   const replica_group& group,
+                   const known_entry_host& reader) {
+  uint64_t version = log_of(group).table.latest().version();
+  unix_ms now = state.control->last_tick_ms;
+  if (reader.have_version >= version)
+    return false;
+  if (reader.sent_version >= version)
+    return now >= reader.config_sent_ms + CONFIG_RESEND_MS;
+  return group.raft.role == raft_role::leader ||
+         now >= state.control->latest_since_ms + FOLLOWER_PATIENCE_MS;
+}
+
+// What the reader is not known to have.
+wire::control_news make_news(const replica_state& state,
+                             const replica_group& group,
+                             known_entry_host& reader) {
   const wire::control_table& table = log_of(group).table;
-  wire::envelope envelope;
-  wire::control_news& news = *envelope.mutable_control_news();
-  if (table.latest().version() > reader.sent_version)
+  wire::control_news news;
+  if (is_config_due(state, group, reader)) {
     *news.mutable_latest() = table.latest();
+    reader.sent_version = table.latest().version();
+    reader.config_sent_ms = state.control->last_tick_ms;
+  }
   for (const wire::owner_grant& grant : table.grants()) {
     if (grant.token() > reader.have_token)
       *news.add_grants() = grant;
@@ -118,8 +140,13 @@
   for (const std::string& replica : known_replicas(state))
     news.add_replicas(replica);
   add_changes(state.control->directory, reader.zone, reader.sent_change, news);
-  reader.sent_version = table.latest().version();
   reader.sent_change = state.control->directory.last_change;
+  return news;
+}
+
+void send_news(const std::string& to, wire::control_news news, outbox& out) {
+  wire::envelope envelope;
+  *envelope.mutable_control_news() = std::move(news);
   send(out, to, std::move(envelope));
 }
 
@@ -260,6 +287,8 @@
   const wire::command& command = entry.command();
   if (command.has_latest()) {
     bool taken = apply_latest(log, command.latest());
+    if (taken)
+      state.control->latest_since_ms = state.control->last_tick_ms;
     note(out, taken ? "config_in_force" : "config_overtaken", group.raft.name,
          fmt::format("version={} newest={}", command.latest().version(),
                      log.table.latest().version()));
@@ -276,8 +305,13 @@
 }
 
 void push_news(replica_state& state, const replica_group& group, outbox& out) {
-  for (auto& [host, reader] : state.control->entry_hosts)
-    send_news(state, group, host, reader, out);
+  for (auto& [host, reader] : state.control->entry_hosts) {
+    wire::control_news news = make_news(state, group, reader);
+    bool tells = news.has_latest() || news.grants_size() > 0 ||
+                 news.upstreams_size() > 0;
+    if (tells)
+      send_news(host, std::move(news), out);
+  }
 }
 
 void receive_entry_hello(replica_state& state,
@@ -301,10 +335,10 @@
   host.draining = hello.draining();
   host.heard_ms = now;
   bool same_life = hello.directory() == state.control->directory.life;
-  host.sent_version = hello.have_version();
+  host.have_version = hello.have_version();
   host.sent_change = same_life ? hello.have_change() : 0;
   host.have_token = hello.have_token();
-  send_news(state, control_group(state), envelope.from(), host, out);
+  send_news(envelope.from(), make_news(state, control_group(state), host), out);
   tell_entry_hosts(state, envelope.from(), host, now, out);
 }
 
