After a loss of power each entry host gets its shard back

Change: replicas know the members of their log as peers at once; a replica that an entry host hears of is greeted in the next tick; silence counts from the first entry host heard; moves start after one lease and go together.

Ruled out: the election (0.2 s), the order of the configuration (0.4 s at most).

Tests: owner_policy.after_a_loss_of_power_each_gets_its_shard_back, a_large_zone_is_split_evenly_and_stays_so, shards_of_lost_hosts_are_shared_out_ and_come_back.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -265,8 +265,11 @@
                const wire::envelope& envelope,
                host_outbox& out) {
   const wire::control_news& news = envelope.control_news();
-  for (const std::string& replica : news.replicas())
-    state.replicas.try_emplace(replica);
+  for (const std::string& replica : news.replicas()) {
+    // It may be the leader, who must hear of this process to make it an owner.
+    if (state.replicas.try_emplace(replica).second)
+      state.hello_ms = now;
+  }
   known_replica& from = state.replicas[envelope.from()];
   from.directory = news.directory();
   from.have_change = news.change();
--- a/cyclamenwood/owner_policy.cc
+++ b/cyclamenwood/owner_policy.cc
@@ -1,6 +1,7 @@
 // Each zone is looked at by itself: its shards whose owner is kept are counted
-// for their owners, the others go to whoever has the fewest. Among equals the
-// process heard of for the longest is taken: those just restarted are the
+// for their owners, the others go to whoever has the fewest. An owner that was
+// started again has none of its own and gets its shard back so. Among equals
+// the process heard of for the longest is taken: those just restarted are the
 // likeliest to be restarted again.
 #include "cyclamenwood/owner_policy.h"
 
@@ -17,11 +18,21 @@
   return now - host.heard_ms <= OWNER_SILENCE_MS;
 }
 
+// Whether an owner that is not heard can be told from one that has not come
+// back yet.
+bool can_tell_silence_of(const entry_host_map& hosts,
+                         unix_ms listening_since_ms,
+                         unix_ms now) {
+  unix_ms first_ms = now;
+  for (const auto& [name, host] : hosts)
+    first_ms = std::min(first_ms, host.first_heard_ms);
+  return now - std::max(first_ms, listening_since_ms) > OWNER_SILENCE_MS;
+}
+
 bool is_kept(const wire::owner_grant& grant,
              const entry_host_map& hosts,
-             unix_ms listening_since_ms,
+             bool can_tell_silence,
              unix_ms now) {
-  bool can_tell_silence = now - listening_since_ms > OWNER_SILENCE_MS;
   auto found = hosts.find(grant.host());
   if (found == hosts.end())
     return !can_tell_silence;
@@ -84,27 +95,29 @@
   return grant;
 }
 
-// A shard of whoever has the most, for one that has two fewer.
-std::optional<wire::owner_grant> choose_move(const control_log& log,
-                                             const std::string& zone,
-                                             uint32_t shards,
-                                             const zone_owners& owners,
-                                             const entry_host_map& hosts,
-                                             unix_ms now) {
-  const std::string& least = choose_least(owners, hosts);
-  if (now - hosts.at(least).first_heard_ms < SETTLED_MS)
-    return std::nullopt;
-  auto most = std::max_element(
-      owners.begin(), owners.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; });
-  if (most->second < owners.at(least) + 2)
-    return std::nullopt;
+// A shard of whoever has the most goes to each settled host that has two fewer.
+void add_moves(const control_log& log,
+               const std::string& zone,
+               uint32_t shards,
+               zone_owners owners,
+               const entry_host_map& hosts,
+               unix_ms now,
+               std::vector<wire::owner_grant>& wanted) {
+  std::erase_if(owners, [&](const auto& item) {
+    return item.second == 0 &&
+           now - hosts.at(item.first).first_heard_ms < SETTLED_MS;
+  });
   for (uint32_t shard = 0; shard < shards; ++shard) {
-    const wire::owner_grant* grant = find_grant(log, zone, shard);
-    if (grant != nullptr && grant->host() == most->first)
-      return make_grant(zone, shard, shards, least, hosts);
+    if (owners.empty())
+      return;
+    const std::string& least = choose_least(owners, hosts);
+    auto owner = owners.find(find_grant(log, zone, shard)->host());
+    if (owner == owners.end() || owner->second < owners.at(least) + 2)
+      continue;
+    wanted.push_back(make_grant(zone, shard, shards, least, hosts));
+    --owner->second;
+    ++owners[least];
   }
-  return std::nullopt;
 }
 
 }  // namespace
@@ -116,6 +129,7 @@
     unix_ms now,
     const owner_policy_options& options) {
   std::vector<wire::owner_grant> wanted;
+  bool can_tell_silence = can_tell_silence_of(hosts, listening_since_ms, now);
   std::set<std::string> zones;
   for (const auto& [name, host] : hosts)
     zones.insert(host.zone);
@@ -130,7 +144,7 @@
     std::vector<uint32_t> open;
     for (uint32_t shard = 0; shard < *shards; ++shard) {
       const wire::owner_grant* grant = find_grant(log, zone, shard);
-      if (grant == nullptr || !is_kept(*grant, hosts, listening_since_ms, now))
+      if (grant == nullptr || !is_kept(*grant, hosts, can_tell_silence, now))
         open.push_back(shard);
       else if (owners.contains(grant->host()))
         ++owners[grant->host()];
@@ -140,10 +154,8 @@
       wanted.push_back(make_grant(zone, shard, *shards, host, hosts));
       ++owners[host];
     }
-    if (!open.empty())
-      continue;
-    if (auto move = choose_move(log, zone, *shards, owners, hosts, now))
-      wanted.push_back(std::move(*move));
+    if (open.empty())
+      add_moves(log, zone, *shards, std::move(owners), hosts, now, wanted);
   }
   return wanted;
 }
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -4,12 +4,13 @@
 // Only a process of the zone itself is chosen, so that a zone that is cut off
 // keeps its owners. An owner is replaced when it was restarted or drains, or
 // when it has not been heard for OWNER_SILENCE_MS, and a process of its zone
-// can take over. Who has been listening for a shorter time can't tell silence
-// and leaves silent owners alone.
+// can take over. Who has been listening for a shorter time, or heard the first
+// entry host a shorter time ago, can't tell silence and leaves silent owners
+// alone: after a loss of power all come back one by one, each to its shard.
 //
 // A zone gets as many shards as it has entry hosts when it gets its first
 // owner, or one when they are few; that number stays. Shards are spread evenly
-// over the zone's entry hosts, and moved one at a time when one has none.
+// over the zone's entry hosts, and moved when one has none.
 #ifndef CYCLAMENWOOD_OWNER_POLICY_H_
 #define CYCLAMENWOOD_OWNER_POLICY_H_
 
@@ -26,8 +27,8 @@
 // missed. Shorter than a run's lease, so that its runs may still be adopted.
 constexpr int64_t OWNER_SILENCE_MS = 700;
 // An entry host heard of for this long may be given a shard that another one
-// has: longer than a lease and than a takeover, so that moves stay rare.
-constexpr int64_t SETTLED_MS = 3'000;
+// has: as long as a lease, so that what its former life ran is over.
+constexpr int64_t SETTLED_MS = 1'000;
 
 struct owner_policy_options {
   // A zone with fewer entry hosts has one pool, which queues best. At five, one
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -192,8 +192,11 @@
 }
 
 void learn_hosts(replica_state& state, const replica_group& group) {
-  for (const wire::member& voter : group.raft.members.voters())
+  for (const wire::member& voter : group.raft.members.voters()) {
     state.host_of_identity[voter.identity()] = voter.host();
+    if (state.control)
+      add_peer(state, voter.host());
+  }
 }
 
 size_t machine_records(const replica_group& group) {
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <deque>
 
+#include "cyclamenwood/owner_policy.h"
+#include "cyclamenwood/pool_name.h"
 #include "cyclamenwood/replica.h"
 
 namespace cyclamenwood {
@@ -105,6 +107,77 @@
   EXPECT_EQ(wanted[0].host(), "e4");
 }
 
+entry_host_map six_hosts(uint64_t incarnation, unix_ms heard_ms) {
+  entry_host_map hosts;
+  for (const char* name : {"e1", "e2", "e3", "e4", "e5", "e6"})
+    hosts[name] = heard("kranj", incarnation, heard_ms);
+  return hosts;
+}
+
+void grant_all(control_log& log, const std::vector<wire::owner_grant>& grants) {
+  for (const wire::owner_grant& grant : grants)
+    apply_grant(log, grant);
+}
+
+std::map<std::string, int> shards_by_host(const control_log& log) {
+  std::map<std::string, int> counts;
+  for (const wire::owner_grant& grant : log.table.grants())
+    ++counts[grant.host()];
+  return counts;
+}
+
+TEST(owner_policy, a_large_zone_is_split_evenly_and_stays_so) {
+  entry_host_map hosts = six_hosts(1, 5000);
+  control_log log;
+  grant_all(log, choose_owners(log, hosts, 0, 5000));
+  EXPECT_EQ(shards_by_host(log).size(), 6U);
+  hosts["e7"] = heard("kranj", 1, 5100);
+  EXPECT_TRUE(choose_owners(log, hosts, 0, 5200).empty());
+  EXPECT_EQ(shards_of(*find_grant(log, "kranj")), 6U);
+}
+
+// The first entry host to come back after a loss of power got all shards of its
+// zone, more than it can serve, for three seconds.
+TEST(owner_policy, after_a_loss_of_power_each_gets_its_shard_back) {
+  control_log log;
+  grant_all(log, choose_owners(log, six_hosts(1, 5000), 0, 5000));
+  entry_host_map back;
+  unix_ms now = 20'000;
+  for (const char* name : {"e4", "e1", "e6", "e2", "e3", "e5"}) {
+    now += 100;
+    back[name] = heard("kranj", 2, now);
+    for (auto& [host, known] : back)
+      known.heard_ms = now;
+    grant_all(log, choose_owners(log, back, 18'000, now));
+  }
+  EXPECT_EQ(shards_by_host(log).size(), 6U);
+  for (const wire::owner_grant& grant : log.table.grants())
+    EXPECT_EQ(grant.incarnation(), 2U);
+}
+
+TEST(owner_policy, shards_of_lost_hosts_are_shared_out_and_come_back) {
+  entry_host_map hosts = six_hosts(1, 5000);
+  control_log log;
+  grant_all(log, choose_owners(log, hosts, 0, 5000));
+  hosts.erase("e3");
+  hosts.erase("e4");
+  auto hear_all = [&hosts](unix_ms now) {
+    for (auto& [name, host] : hosts)
+      host.heard_ms = now;
+  };
+  hear_all(9000);
+  grant_all(log, choose_owners(log, hosts, 0, 9000));
+  for (const auto& [host, shards] : shards_by_host(log))
+    EXPECT_LE(shards, 2) << host;
+  hosts["e3"] = heard("kranj", 2, 9100);
+  hosts["e4"] = heard("kranj", 2, 9100);
+  EXPECT_TRUE(choose_owners(log, hosts, 0, 9200).empty());
+  hear_all(9100 + SETTLED_MS);
+  grant_all(log, choose_owners(log, hosts, 0, 9100 + SETTLED_MS));
+  EXPECT_EQ(shards_by_host(log)["e3"], 1);
+  EXPECT_EQ(shards_by_host(log)["e4"], 1);
+}
+
 // A zone that is cut off keeps its owner: nobody else can reach its upstreams.
 TEST(owner_policy, grants_nothing_to_other_zones) {
   control_log log;
