cyclamenwoodctl for seeded deployments: owners, room, log-state, why

A regained upstream is logged (upstream_reachable). The gauges moved to a file of their own. Placement measures the largest room again only after a task took some.

--- a/cyclamenwood/exposition.cc
+++ b/cyclamenwood/exposition.cc
@@ -86,6 +86,10 @@
   implementation_->counters[std::string(name)][std::string(labels)] += by;
 }
 
+void exposition::clear_gauges() {
+  implementation_->gauges.clear();
+}
+
 void exposition::set(std::string_view name,
                      std::string_view labels,
                      double value) {
--- a/cyclamenwood/exposition.h
+++ b/cyclamenwood/exposition.h
@@ -26,6 +26,8 @@
   ~exposition();
 
   void count(std::string_view name, std::string_view labels, uint64_t by = 1);
+  // Gauges that are not set again are not shown any more.
+  void clear_gauges();
   // A gauge, as of the last call.
   void set(std::string_view name, std::string_view labels, double value);
   void observe_ms(std::string_view name, std::string_view labels, int64_t ms);
--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "cyclamenwood/host_entry.h"
+#include "cyclamenwood/host_metrics.h"
 #include "cyclamenwood/http_server.h"
 #include "cyclamenwood/loop.h"
 #include "cyclamenwood/metrics_page.h"
@@ -181,17 +182,7 @@
 
   // What is as of now.
   void refresh(exposition& seen) {
-    const intake& callers = state_.callers;
-    seen.set("config_version", "",
-             callers.routes ? static_cast<double>(callers.routes->version) : 0);
-    seen.set("open_jobs", "", static_cast<double>(callers.jobs.size()));
-    seen.set("draining", "", state_.draining ? 1 : 0);
-    for (const auto& [name, pool] : state_.pools)
-      refresh(seen, pool);
-    for (const auto& [name, known] : callers.pools) {
-      seen.set("owner_age_ms", fmt::format("pool=\"{}\"", name),
-               static_cast<double>(current_time() - known.heard_ms));
-    }
+    show_host(state_, current_time(), seen);
     rpc_counts sent = rpc_.counts();
     seen.set("rpc_sent_messages", "", static_cast<double>(sent.sent_messages));
     seen.set("rpc_sent_bytes", "", static_cast<double>(sent.sent_bytes));
@@ -199,17 +190,6 @@
              static_cast<double>(sent.dropped_messages));
   }
 
-  static void refresh(exposition& seen, const pool& pool) {
-    std::string labels = fmt::format("pool=\"{}\"", pool.name);
-    seen.set("owner_token", labels, static_cast<double>(pool.token));
-    seen.set("pool_jobs", labels, static_cast<double>(pool.jobs.size()));
-    seen.set("pool_queued_jobs", labels,
-             static_cast<double>(pool.queue.size()));
-    seen.set("pool_runs", labels, static_cast<double>(pool.placed.size()));
-    seen.set("pool_upstreams", labels,
-             static_cast<double>(pool.upstreams.size()));
-  }
-
   void execute(const event_note& effect) {
     metrics_.seen().count("events_total",
                           fmt::format("event=\"{}\"", effect.event));
--- a/cyclamenwood/metrics_page.cc
+++ b/cyclamenwood/metrics_page.cc
@@ -32,6 +32,7 @@
     server_.respond(request.exchange, {STATUS_NOT_FOUND, "{}", {}});
     return;
   }
+  seen_.clear_gauges();
   log_counts logged = count_log();
   seen_.set("log_lines", "", static_cast<double>(logged.lines));
   seen_.set("log_bytes", "", static_cast<double>(logged.bytes));
--- a/cyclamenwood/metrics_page.h
+++ b/cyclamenwood/metrics_page.h
@@ -20,6 +20,7 @@
 
   // Listens on "ip:port"; empty: shows nothing.
   result<done> listen(const std::string& address);
+  uint16_t port() const { return server_.port(); }
 
   exposition& seen() { return seen_; }
 
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -49,9 +49,16 @@
                      });
 }
 
-// Places what fits. Returns whether tasks of the job are still queued.
-bool place_job(pool& pool, pool_job& job, unix_ms now, pool_output& out) {
+struct placement {
+  // A task was ordered.
+  bool took_room = false;
+  // Tasks of the job are still queued.
   bool waits = false;
+};
+
+// Places what fits.
+placement place_job(pool& pool, pool_job& job, unix_ms now, pool_output& out) {
+  placement done;
   for (auto& [index, task] : job.tasks) {
     if (!task.queued || adopt_task(pool, job, index, out))
       continue;
@@ -59,13 +66,14 @@
     leased_upstream* upstream =
         busy ? nullptr : choose_upstream(pool, job, task, now);
     if (upstream == nullptr) {
-      waits = true;
+      done.waits = true;
       continue;
     }
     task.queued = false;
     start_run(pool, *upstream, job, index, now, out);
+    done.took_room = true;
   }
-  return waits;
+  return done;
 }
 
 // The most processor room that one upstream of each service has free: most
@@ -218,9 +226,11 @@
     bool hopeful = adopts || room.may_fit(job);
     if (!hopeful || must_wait_for_lists(pool, job, now))
       continue;
-    if (!place_job(pool, job, now, out))
+    placement placed = place_job(pool, job, now, out);
+    if (!placed.waits)
       pool.queue.erase(key);
-    room.measure();
+    if (placed.took_room)
+      room.measure();
   }
   refuse_hopeless(pool, now, out);
 }
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -409,6 +409,10 @@
     return;
   }
   bool was_reachable = std::exchange(upstream.reachable, true);
+  if (!was_reachable && upstream.listed)
+    out.notes.push_back({"upstream_reachable",
+                         fmt::format("upstream={} runs={}", upstream.info.id(),
+                                     upstream.runs.size())});
   bool reborn = reply.incarnation > upstream.info.incarnation();
   if (reborn) {
     begin_new_life(upstream, reply.incarnation, now, out);
--- a/cyclamenwood/testing/ctl_test.cc
+++ b/cyclamenwood/testing/ctl_test.cc
@@ -3,10 +3,13 @@
 #include <gtest/gtest.h>
 #include <sys/wait.h>
 
+#include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <future>
 
 #include "cyclamenwood/loop.h"
+#include "cyclamenwood/metrics_page.h"
 #include "cyclamenwood/testing/deployment.h"
 
 namespace cyclamenwood {
@@ -72,5 +75,47 @@
   EXPECT_EQ(site.wait_for_exit("kranj-1"), 0);
 }
 
+TEST(ctl, shows_series_of_a_metrics_page) {
+  event_loop loop;
+  metrics_page page(loop, [](exposition& seen) {
+    seen.set("owner", R"(pool="kranj/3",host="10.3.0.38:7460")", 5);
+    seen.set("upstream_used_cpu_milli", R"(pool="kranj/3",upstream="u1")", 700);
+    seen.set("raft_term", "", 4);
+  });
+  ASSERT_TRUE(ok(page.listen("127.0.0.1:0")));
+  std::string host = fmt::format("--host 127.0.0.1:{} ", page.port());
+  auto print = [&](const std::string& command) {
+    std::future<command_result> running =
+        std::async(std::launch::async, run_ctl, host + command);
+    while (running.wait_for(std::chrono::milliseconds(1)) !=
+           std::future_status::ready)
+      ev_run(loop.raw(), EVRUN_NOWAIT);
+    return running.get().output;
+  };
+  EXPECT_EQ(print("owners"),
+            "owner{pool=\"kranj/3\",host=\"10.3.0.38:7460\"} 5\n");
+  EXPECT_EQ(print("room"),
+            "upstream_used_cpu_milli{pool=\"kranj/3\",upstream=\"u1\"} 700\n");
+  EXPECT_EQ(print("log-state"), "raft_term 4\n");
+}
+
+TEST(ctl, why_reads_logs_of_several_processes) {
+  std::string folder = testing::TempDir();
+  std::ofstream(folder + "/why-a.log")
+      << "2026-01-08T02:33:41.300Z info job_ended job=bbbb outcome=unknown\n";
+  std::ofstream(folder + "/why-b.log")
+      << "2026-01-08T02:33:41.000Z info runs_lost upstream=u1\n"
+         "2026-01-08T02:33:41.100Z info start_unanswered task=bbbb.0.0.1 "
+         "upstream=u1\n";
+  std::string files = fmt::format(" {0}/why-a.log {0}/why-b.log", folder);
+  command_result found = run_ctl("why bbbb" + files);
+  EXPECT_EQ(found.code, 0);
+  EXPECT_LT(found.output.find("start_unanswered"),
+            found.output.find("job_ended"));
+  EXPECT_NE(found.output.find("runs_lost"), std::string::npos);
+  EXPECT_EQ(run_ctl("why cccc" + files).code, 1);
+  EXPECT_EQ(run_ctl("why bbbb").code, 2);
+}
+
 }  // namespace
 }  // namespace cyclamenwood
--- a/cyclamenwood/testing/log_test.cc
+++ b/cyclamenwood/testing/log_test.cc
@@ -109,6 +109,10 @@
         "cyclamenwood_job_duration_ms_bucket{queue=\"r-1\",le=\"+Inf\"} 2\n",
         "cyclamenwood_job_duration_ms_count{queue=\"r-1\"} 2\n"})
     EXPECT_NE(page.find(line), std::string::npos) << line << page;
+  // What is gone is not shown as if it still were.
+  seen.clear_gauges();
+  EXPECT_EQ(seen.text().find("open_jobs"), std::string::npos);
+  EXPECT_NE(seen.text().find("answers_total"), std::string::npos);
 }
 
 }  // namespace
--- /dev/null
+++ b/cyclamenwood/why.cc
@@ -0,0 +1,113 @@
+// A line is "TIME LEVEL EVENT key=value ...", the time in ISO 8601 with
+// milliseconds, so that texts compare like times on one day.
+#include "cyclamenwood/why.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <iomanip>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string_view>
+
+#include "cyclamenwood/types.h"
+
+namespace cyclamenwood {
+namespace {
+
+constexpr size_t TIME_LENGTH =
+    std::string_view("2026-01-08T02:33:40.384Z").size();
+constexpr size_t SECONDS_LENGTH =
+    std::string_view("2026-01-08T02:33:40").size();
+
+// Events that change what a request meets; an upstream's count only when a line
+// about the request names it.
+constexpr std::array STATE_EVENTS = {"config_in_force", "ownership_taken",
+                                     "ownership_lost",  "ownership_given_up",
+                                     "entry_host_lost", "started",
+                                     "draining",        "stopped"};
+
+struct log_record {
+  unix_ms time_ms = 0;
+  std::string_view line;
+};
+
+std::optional<unix_ms> read_time(std::string_view line) {
+  if (line.size() < TIME_LENGTH || line[TIME_LENGTH - 1] != 'Z')
+    return std::nullopt;
+  std::istringstream text{std::string(line.substr(0, SECONDS_LENGTH))};
+  std::tm parts{};
+  text >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
+  if (text.fail())
+    return std::nullopt;
+  int ms = std::atoi(std::string(line.substr(SECONDS_LENGTH + 1, 3)).c_str());
+  return static_cast<unix_ms>(timegm(&parts)) * MS_PER_SECOND + ms;
+}
+
+// The value of "key=" in the line; empty when there is none.
+std::string_view find_value(std::string_view line, std::string_view key) {
+  std::string sought = " " + std::string(key) + "=";
+  size_t at = line.find(sought);
+  if (at == std::string_view::npos)
+    return {};
+  std::string_view rest = line.substr(at + sought.size());
+  return rest.substr(0, rest.find(' '));
+}
+
+bool names_request(std::string_view line, std::string_view id) {
+  std::string_view task = find_value(line, "task");
+  return find_value(line, "job") == id ||
+         (task.starts_with(id) && task.substr(id.size()).starts_with('.')) ||
+         find_value(line, "path").ends_with("/" + std::string(id));
+}
+
+bool tells_state(std::string_view line) {
+  return std::any_of(STATE_EVENTS.begin(), STATE_EVENTS.end(),
+                     [line](std::string_view event) {
+                       return line.find(" " + std::string(event) + " ") !=
+                              std::string_view::npos;
+                     });
+}
+
+}  // namespace
+
+std::vector<std::string> explain(const std::vector<std::string>& lines,
+                                 const why_options& wanted) {
+  std::vector<log_record> records;
+  unix_ms first_ms = INT64_MAX;
+  unix_ms last_ms = 0;
+  std::set<std::string_view> upstreams;
+  for (const std::string& line : lines) {
+    std::optional<unix_ms> time_ms = read_time(line);
+    if (!time_ms)
+      continue;
+    records.push_back({*time_ms, line});
+    if (!names_request(line, wanted.id))
+      continue;
+    first_ms = std::min(first_ms, *time_ms);
+    last_ms = std::max(last_ms, *time_ms);
+    upstreams.insert(find_value(line, "upstream"));
+  }
+  upstreams.erase(std::string_view());
+  std::erase_if(records, [&](const log_record& record) {
+    if (names_request(record.line, wanted.id))
+      return false;
+    bool near = record.time_ms >= first_ms - wanted.before_ms &&
+                record.time_ms <= last_ms;
+    bool of_task = !find_value(record.line, "task").empty();
+    bool of_upstream =
+        upstreams.contains(find_value(record.line, "upstream")) && !of_task;
+    return !near || !(of_upstream || tells_state(record.line));
+  });
+  std::stable_sort(records.begin(), records.end(),
+                   [](const log_record& a, const log_record& b) {
+                     return a.time_ms < b.time_ms;
+                   });
+  std::vector<std::string> found;
+  for (const log_record& record : records)
+    found.emplace_back(record.line);
+  return first_ms == INT64_MAX ? std::vector<std::string>() : found;
+}
+
+}  // namespace cyclamenwood
--- a/programs/ctl.cc
+++ b/programs/ctl.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <getopt.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <functional>
@@ -16,6 +17,7 @@
 #include "cyclamenwood/settings.h"
 #include "cyclamenwood/util/blocking_http.h"
 #include "cyclamenwood/util/program.h"
+#include "cyclamenwood/why.h"
 
 namespace cyclamenwood {
 namespace {
@@ -26,6 +28,7 @@
 constexpr long DEFAULT_TIMEOUT_MS = 60'000;
 constexpr long FIRST_FAILURE_STATUS = 400;
 constexpr int INDENT = 2;
+constexpr std::string_view METRICS_PREFIX = "cyclamenwood_";
 
 constexpr const char* HELP =
     R"(Usage: cyclamenwoodctl [options] COMMAND
@@ -45,6 +48,13 @@
   histograms                  response, queue and ratio by tenant and class
   drain                       start a graceful shutdown (entryd or replicad)
 
+Commands for processes of a seeded deployment (--host: its metrics address):
+  owners                      who owns which pool, as an entry host knows it
+  room                        the room of the upstreams that an entry host owns
+  log-state                   a replica's place in the control log
+  why ID FILE...              the log lines that explain a request, out of the
+                              logs of any number of processes
+
 Options:
   -H, --host IP:PORT          entry host's HTTP address (default 127.0.0.1:8000)
   -t, --timeout-ms MS         give up after this time (default 60000)
@@ -208,10 +218,52 @@
   return EXIT_CODE_OK;
 }
 
+// Prints the series of a metrics page whose names begin so.
+int show_series(const arguments& given,
+                const std::vector<std::string_view>& names) {
+  result<api_answer> called = call(given, "GET", "/metrics", "");
+  if (!ok(called) || value(called).status >= FIRST_FAILURE_STATUS)
+    return print_reply(given, called);
+  std::istringstream page(value(called).body);
+  for (std::string line; std::getline(page, line);) {
+    if (!line.starts_with(METRICS_PREFIX))
+      continue;
+    std::string_view series =
+        std::string_view(line).substr(METRICS_PREFIX.size());
+    bool shown = std::any_of(
+        names.begin(), names.end(),
+        [series](std::string_view name) { return series.starts_with(name); });
+    if (shown)
+      fmt::print("{}\n", series);
+  }
+  return EXIT_CODE_OK;
+}
+
+int show_why(const arguments& given) {
+  std::vector<std::string> lines;
+  for (size_t i = 2; i < given.words.size(); ++i) {
+    result<std::string> text = read_input(given.words[i]);
+    if (!ok(text))
+      return report(PROGRAM, failure(text));
+    std::istringstream file(value(text));
+    for (std::string line; std::getline(file, line);)
+      lines.push_back(std::move(line));
+  }
+  std::vector<std::string> found = explain(lines, {.id = given.words[1]});
+  for (const std::string& line : found)
+    fmt::print("{}\n", line);
+  if (!found.empty())
+    return EXIT_CODE_OK;
+  report(PROGRAM, error{error_code::not_found, given.words[1]});
+  return EXIT_CODE_FAILED;
+}
+
 struct command {
   std::vector<std::string> words;
+  // At least so many; more only where `takes_more`.
   size_t parameters = 0;
   std::function<int(const arguments&)> run;
+  bool takes_more = false;
 };
 
 std::vector<command> all_commands() {
@@ -232,6 +284,20 @@
        0,
        [](const arguments& given) { return send(given, "GET", "/v1/status"); }},
       {{"histograms"}, 0, show_histograms},
+      {{"owners"},
+       0,
+       [](const arguments& given) { return show_series(given, {"owner"}); }},
+      {{"room"},
+       0,
+       [](const arguments& given) {
+         return show_series(given, {"pool_", "upstream_"});
+       }},
+      {{"log-state"},
+       0,
+       [](const arguments& given) {
+         return show_series(given, {"raft_", "upstreams_heard"});
+       }},
+      {{"why"}, 2, show_why, true},
       {{"drain"},
        0,
        [](const arguments& given) { return send(given, "POST", "/v1/drain"); }},
@@ -239,7 +305,10 @@
 }
 
 bool matches(const command& candidate, const arguments& given) {
-  if (given.words.size() != candidate.words.size() + candidate.parameters)
+  size_t least = candidate.words.size() + candidate.parameters;
+  bool fits = candidate.takes_more ? given.words.size() >= least
+                                   : given.words.size() == least;
+  if (!fits)
     return false;
   return std::equal(candidate.words.begin(), candidate.words.end(),
                     given.words.begin());
