--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -1,12 +1,15 @@
-// The callers' part of an entry host, and the choice of a zone.
+// The callers' part of an entry host, and the choice of a pool.
 #include "cyclamenwood/intake.h"
 
+#include <fmt/format.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
 
 #include "cyclamenwood/host_entry.h"
+#include "cyclamenwood/neighbours.h"
+#include "cyclamenwood/pool_name.h"
 
 namespace cyclamenwood {
 namespace {
@@ -371,6 +374,62 @@
   EXPECT_TRUE(behind.overloaded);
 }
 
+TEST(pool_choice, the_nearest_pool_with_room_is_taken) {
+  pool_rooms rooms;
+  rooms["far"] = {{9000}, {}, 9000, false, pool_distance::other_zone};
+  rooms["near"] = {{2000}, {}, 9000, false, pool_distance::own_zone};
+  rooms["nearer"] = {{1000}, {}, 9000, false, pool_distance::own_host};
+  pool_plan plan = choose_pools(rooms, {1000, 100}, 5);
+  EXPECT_EQ(plan.pools,
+            (std::vector<std::string>{"nearer", "near", "near", "far", "far"}));
+  EXPECT_EQ(plan.wait_ms, 0);
+}
+
+// Grants of so many shards in each of two zones, host i having shard i.
+std::map<std::string, wire::owner_grant> make_grants(uint32_t shards) {
+  std::map<std::string, wire::owner_grant> grants;
+  for (const char* zone : {"kranj", "vic"}) {
+    for (uint32_t shard = 0; shard < shards; ++shard) {
+      wire::owner_grant grant;
+      grant.set_zone(zone);
+      grant.set_host(fmt::format("{}-host-{}", zone, shard));
+      grant.set_shard(shard);
+      grant.set_shards(shards);
+      grants[pool_name(grant)] = grant;
+    }
+  }
+  return grants;
+}
+
+TEST(neighbours, all_pools_of_a_small_deployment) {
+  EXPECT_EQ(choose_neighbours(make_grants(1), "kranj", "kranj-host-0"),
+            (std::set<std::string>{"kranj", "vic"}));
+}
+
+// What a host greets must not grow with the deployment, and no pool may be left
+// without neighbours.
+TEST(neighbours, a_few_pools_of_a_large_one_and_each_has_as_many) {
+  std::map<std::string, wire::owner_grant> grants = make_grants(20);
+  std::map<std::string, int> greeted_by;
+  for (uint32_t host = 0; host < 20; ++host) {
+    std::set<std::string> chosen =
+        choose_neighbours(grants, "kranj", fmt::format("kranj-host-{}", host));
+    EXPECT_EQ(chosen.size(), 1 + ZONE_NEIGHBOURS + 1);
+    EXPECT_TRUE(chosen.contains(fmt::format("kranj/{}", host)));
+    for (const std::string& name : chosen)
+      ++greeted_by[name];
+  }
+  EXPECT_EQ(greeted_by.size(), 40U);
+  for (const auto& [name, hosts] : greeted_by)
+    EXPECT_EQ(hosts, name.starts_with("kranj") ? 1 + ZONE_NEIGHBOURS : 1)
+        << name;
+}
+
+TEST(neighbours, a_host_without_a_shard_has_some_too) {
+  EXPECT_EQ(choose_neighbours(make_grants(20), "kranj", "spare").size(),
+            1 + ZONE_NEIGHBOURS + 1);
+}
+
 TEST(pool_choice, nothing_known_gives_nothing) {
   pool_rooms rooms;
   EXPECT_TRUE(choose_pools(rooms, {1000, 100}, 2).pools.empty());
