--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build
 OWN_SOURCES = $(shell git ls-files '*.cc' '*.h' | grep -v '\.pb\.')
 
-.PHONY: packages build demo test format format-check lint protos
+.PHONY: packages build deploy-build demo test format format-check lint protos
 
 packages:
 	./packages.sh
@@ -12,6 +12,11 @@
 	cmake -S . -B $(BUILD) -G Ninja
 	cmake --build $(BUILD)
 
+# The programs as deploy/system.toml has them built.
+deploy-build: packages
+	cmake -S . -B target -DCMAKE_BUILD_TYPE=Release -DCYCLAMENWOOD_TESTS=OFF
+	cmake --build target -j6
+
 demo: build
 	$(BUILD)/tools/demo
 
--- a/cyclamenwood/why.cc
+++ b/cyclamenwood/why.cc
@@ -2,6 +2,8 @@
 // milliseconds, so that texts compare like times on one day.
 #include "cyclamenwood/why.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -47,7 +49,7 @@
 
 // The value of "key=" in the line; empty when there is none.
 std::string_view find_value(std::string_view line, std::string_view key) {
-  std::string sought = " " + std::string(key) + "=";
+  std::string sought = fmt::format(" {}=", key);
   size_t at = line.find(sought);
   if (at == std::string_view::npos)
     return {};
@@ -59,15 +61,14 @@
   std::string_view task = find_value(line, "task");
   return find_value(line, "job") == id ||
          (task.starts_with(id) && task.substr(id.size()).starts_with('.')) ||
-         find_value(line, "path").ends_with("/" + std::string(id));
+         find_value(line, "path").ends_with(fmt::format("/{}", id));
 }
 
 bool tells_state(std::string_view line) {
-  return std::any_of(STATE_EVENTS.begin(), STATE_EVENTS.end(),
-                     [line](std::string_view event) {
-                       return line.find(" " + std::string(event) + " ") !=
-                              std::string_view::npos;
-                     });
+  return std::any_of(
+      STATE_EVENTS.begin(), STATE_EVENTS.end(), [line](std::string_view event) {
+        return line.find(fmt::format(" {} ", event)) != std::string_view::npos;
+      });
 }
 
 }  // namespace
