Voters that were away come back; one newcomer takes one place

Two of five voters had been without power for 7 s; for one newcomer the leader removed both, first for its place, then for its being silent, which left four voters. Back with their disks, the two read in their own logs that they vote, said nothing, and were left alone.

Change: a newcomer takes a free place before that of a silent voter; a replica that hears of no leader for 2 s makes itself known, whatever its log says.

Ruled out: slow disks and the split into shards, which have no part in it.

Tests: control_fixture.voters_that_were_away_do_not_leave_four and a_removed_voter_rejoins_when_a_place_is_free, both fail first.

--- a/cyclamenwood/raft_members.cc
+++ b/cyclamenwood/raft_members.cc
@@ -100,16 +100,14 @@
   return std::max((group.options.target_voters - 1) / 2, 1);
 }
 
-// The voter whose place the newcomer takes: its host's former replica, or one
-// that has been silent for long. An availability zone gets a second voter only
-// when there was no better replacement for a longer time.
-const wire::member* replaced_by(const raft_group& group,
+// A voter that has been silent for so long that the newcomer may take its
+// place. An availability zone gets a second voter only when there was no better
+// replacement for a longer time.
+const wire::member* find_silent(const raft_group& group,
                                 const std::string& host,
-                                uint64_t newcomer,
                                 int64_t now) {
-  const wire::member* former = member_on_host(group, host, newcomer);
-  if (former != nullptr || !group.options.open_membership)
-    return former;
+  if (!group.options.open_membership)
+    return nullptr;
   for (const wire::member& voter : group.members.voters()) {
     auto progress = group.progress.find(voter.identity());
     if (voter.identity() == group.self.identity() ||
@@ -136,6 +134,19 @@
          voters_beside(group, host, 0) < max_voters_a_zone(group);
 }
 
+// The voter whose place the newcomer takes: its host's former replica, or a
+// silent one where there is no free place. One newcomer takes one place: two
+// removals for it would leave an even number of voters.
+const wire::member* replaced_by(const raft_group& group,
+                                const std::string& host,
+                                uint64_t newcomer,
+                                int64_t now) {
+  const wire::member* former = member_on_host(group, host, newcomer);
+  if (former != nullptr || has_place_for(group, host))
+    return former;
+  return find_silent(group, host, now);
+}
+
 wire::membership without(const wire::membership& members, uint64_t identity) {
   wire::membership rest;
   for (const wire::member& voter : members.voters()) {
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr int64_t HELLO_INTERVAL_MS = 1000;
+// Twice the longest election timeout: a voter that hears of no leader for this
+// long may have been removed.
+constexpr int64_t UNHEARD_LEADER_MS = 2000;
 constexpr int64_t CONFIG_READER_TIMEOUT_MS = 10'000;
 constexpr int64_t HANDOVER_LIMIT_MS = 3000;
 constexpr int64_t HANDOVER_LINGER_MS = 300;
@@ -419,6 +422,18 @@
   state.hello_at_ms = event.now;
 }
 
+// Whether a group counts this replica as a member, as far as it can tell. One
+// that was removed while it was away has not read that in its log; it is left
+// alone by the leader.
+bool is_member(const replica_state& state,
+               const replica_group& group,
+               unix_ms now) {
+  bool in_touch = group.raft.role == raft_role::leader ||
+                  now - group.raft.last_leader_contact_ms <= UNHEARD_LEADER_MS;
+  return raft_is_voter(group.raft, state.identity) &&
+         (in_touch || !state.control);
+}
+
 // A replica that some group does not count as a member makes itself known.
 void say_hello(replica_state& state, unix_ms now, outbox& out) {
   if (now < state.hello_at_ms)
@@ -426,7 +441,7 @@
   state.hello_at_ms = now + HELLO_INTERVAL_MS;
   bool member = true;
   for (const auto& [name, group] : state.groups)
-    member = member && raft_is_voter(group.raft, state.identity);
+    member = member && is_member(state, group, now);
   if (member)
     return;
   for (const std::string& peer : state.peers) {
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -1,4 +1,5 @@
 // The control log's part of a replica, and what it decides with.
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -509,6 +510,55 @@
   EXPECT_EQ(answers.at(2).content, "four");
 }
 
+// Two of five voters were away, a sixth replica took the place of one, and the
+// leader removed both for it. Back with their disks, the two took themselves
+// for voters and kept quiet; four voters were left, and the loss of two disks
+// then left no majority.
+TEST_F(control_fixture, voters_that_were_away_do_not_leave_four) {
+  hosts.clear();
+  std::vector<std::string> names;
+  for (int i = 1; i <= 6; ++i) {
+    names.push_back(fmt::format("10.0.0.{}:7", i));
+    add(names.back(), i <= 3, fmt::format("zone-{}", i % 3), 5);
+  }
+  run_for(15'000);
+  ASSERT_EQ(group(leader()).raft.members.voters_size(), 5);
+  std::vector<std::string> away;
+  for (const wire::member& voter : group(leader()).raft.members.voters()) {
+    if (voter.host() != leader() && away.size() < 2)
+      away.push_back(voter.host());
+  }
+  cut.insert(away.begin(), away.end());
+  run_for(15'000);
+  EXPECT_EQ(group(leader()).raft.members.voters_size(), 5);
+  cut.clear();
+  run_for(5'000);
+  int in_touch = 0;
+  for (const wire::member& voter : group(leader()).raft.members.voters()) {
+    bool follows = group(voter.host()).raft.term == group(leader()).raft.term;
+    in_touch += follows ? 1 : 0;
+  }
+  EXPECT_EQ(in_touch, 5);
+}
+
+// A replica that was removed while it was away rejoins, although its own log
+// says that it is a voter.
+TEST_F(control_fixture, a_removed_voter_rejoins_when_a_place_is_free) {
+  hosts.clear();
+  for (int i = 1; i <= 4; ++i)
+    add(fmt::format("10.0.0.{}:7", i), i <= 3, fmt::format("zone-{}", i), 3);
+  run_for(5'000);
+  std::string away = leader() == "10.0.0.1:7" ? "10.0.0.2:7" : "10.0.0.1:7";
+  cut.insert(away);
+  run_for(15'000);
+  ASSERT_FALSE(raft_is_voter(group(leader()).raft, founding_identity(away)));
+  cut.clear();
+  // The one that took its place is lost.
+  cut.insert("10.0.0.4:7");
+  run_for(15'000);
+  EXPECT_TRUE(raft_is_voter(group(leader()).raft, founding_identity(away)));
+}
+
 TEST_F(control_fixture, upstreams_reach_their_zones_entry_hosts_only) {
   run_for(3000);
   hello("e1", "kranj");
