Tests for rules that the random runs do not find when broken

Broken on purpose on a scratch copy, these went unseen: a stop that a former life acknowledged is not told again, room of a run being stopped counts as free, an owner takes the whole zone's upstreams.

--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -496,6 +496,49 @@
   EXPECT_EQ(state.pools.at("kranj").token, 0U);
 }
 
+// Two owners of one upstream would fence each other off.
+TEST(host_entry, an_owner_takes_the_upstreams_of_its_shard_only) {
+  host_settings settings;
+  settings.rpc = "e1";
+  settings.zone = "kranj";
+  host_entry state = make_host_entry(settings, 1, [](std::string_view) {
+    return result<route_table>(route_table());
+  });
+  wire::envelope envelope;
+  envelope.set_from("r1");
+  wire::control_news& news = *envelope.mutable_control_news();
+  for (uint32_t shard : {0U, 1U}) {
+    wire::owner_grant& grant = *news.add_grants();
+    grant.set_zone("kranj");
+    grant.set_host(shard == 0 ? "e1" : "e2");
+    grant.set_incarnation(1);
+    grant.set_token(5 + shard);
+    grant.set_shard(shard);
+    grant.set_shards(2);
+  }
+  auto add_upstreams = [&news](int from, int to) {
+    news.clear_upstreams();
+    for (int i = from; i < to; ++i) {
+      wire::upstream& upstream = *news.add_upstreams();
+      upstream.set_id(fmt::format("u{}", i));
+      upstream.set_service("fit-desk");
+      upstream.set_zone("kranj");
+    }
+  };
+  // Some are heard of before the grant, some after.
+  add_upstreams(0, 10);
+  reduce(state, host_received{1000, envelope});
+  add_upstreams(10, 20);
+  reduce(state, host_received{1100, envelope});
+  const pool& owned = state.pools.at("kranj/0");
+  EXPECT_EQ(owned.token, 5U);
+  EXPECT_FALSE(state.pools.contains("kranj/1"));
+  for (int i = 0; i < 20; ++i) {
+    std::string id = fmt::format("u{}", i);
+    EXPECT_EQ(owned.upstreams.contains(id), shard_of(id, 2) == 0) << id;
+  }
+}
+
 // No replica can be reached, and one entry host was started again: it learns
 // the configuration and the owners from another one, and never an older one.
 TEST(host_entry, a_restarted_host_learns_what_is_in_force_from_another) {
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -336,6 +336,48 @@
   EXPECT_EQ(first.carry_out(late, now).outcome, order_outcome::stale_attempt);
 }
 
+// The stop was acknowledged by the former life only: the order that comes late
+// must not run in the new one beside the next attempt.
+TEST_F(pool_fixture, a_stop_that_a_former_life_acknowledged_is_told_again) {
+  fake_upstream& first = add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  drop_starts = 3;
+  ask(request(1, "j1", 1));
+  const leased_run& run = state.upstreams["u1"].runs["j1.0.0.0"];
+  unix_ms asked = now;
+  while (run.listed_from_ms == INT64_MAX && now < asked + 2000)
+    run_until(now + STEP_MS);
+  ASSERT_EQ(run.state, run_state::stopping);
+  first.restart(now);
+  run_until(now + 600);
+  run_order late;
+  late.kind = order_kind::start;
+  late.token = 1;
+  late.task = "j1.0.0.0";
+  late.attempt = 1;
+  late.lease_deadline_ms = now + 600'000;
+  EXPECT_EQ(first.carry_out(late, now).outcome, order_outcome::stale_attempt);
+}
+
+TEST_F(pool_fixture, room_of_a_run_that_is_being_stopped_is_not_free) {
+  fake_upstream& first = add_upstream("u1", 1000);
+  first.set_run_ms(5000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  run_until(now + 50);
+  ASSERT_EQ(first.runs().size(), 1U);
+  release_runs(state, 1, now, out);
+  flush();
+  ask(request(2, "j2", 1));
+  for (const sent_order& sent : waiting)
+    EXPECT_NE(sent.order.kind, order_kind::start);
+  run_until(now + 1000);
+  EXPECT_EQ(first.rejected_for_room(), 0U);
+  EXPECT_EQ(first.runs().count("j2.0.0.0"), 1U);
+}
+
 TEST_F(pool_fixture, a_step_goes_only_where_its_label_is) {
   add_upstream("u1");
   upstreams.emplace_back("u2", "kranj", 2000, 0, RUN_MS);
