Shards by the number of upstreams; what was asked for again is not refused

What an owner costs goes with its upstreams, not with the number of hosts. Change: entry hosts say how many upstreams of their zone they know; from 24 on a zone is split into as many shards as it has hosts, of eight at least.

Change: once a job was asked for again it counts as begun.

Tests: owner_policy.a_zone_with_few_upstreams_has_one_pool, intake_fixture.what_was_asked_for_again_is_not_said_to_be_refused (fails first).

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -381,6 +381,7 @@
     hello.set_directory(replica.directory);
     hello.set_have_change(replica.have_change);
     hello.set_have_token(state.callers.have_token);
+    hello.set_upstreams(static_cast<uint32_t>(state.upstreams.size()));
     send(state, host, std::move(envelope), out);
   }
 }
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -274,6 +274,8 @@
   if (request.tasks().empty())
     return;
   request.set_resumed(job.pools.contains(name));
+  // A result that says otherwise may be older than this request.
+  job.started = job.started || request.resumed();
   if (const known_pool* pool = find_current(intake, name)) {
     request.set_echo_ms(pool->clock_ms);
     if (request.resumed())
--- a/cyclamenwood/owner_policy.cc
+++ b/cyclamenwood/owner_policy.cc
@@ -66,19 +66,31 @@
   return least->first;
 }
 
+// Upstreams of the zone, as the entry host that knows most of them says.
+uint32_t count_upstreams(const entry_host_map& hosts, const std::string& zone) {
+  uint32_t most = 0;
+  for (const auto& [name, host] : hosts) {
+    if (host.zone == zone)
+      most = std::max(most, host.upstreams);
+  }
+  return most;
+}
+
 // Nothing before the zone's first owners may be chosen.
 std::optional<uint32_t> count_shards(const control_log& log,
                                      const std::string& zone,
                                      size_t candidates,
+                                     uint32_t upstreams,
                                      int64_t listened_ms,
                                      const owner_policy_options& options) {
   if (const wire::owner_grant* first = find_grant(log, zone))
     return shards_of(*first);
   if (listened_ms < options.founding_ms)
     return std::nullopt;
-  return candidates < options.split_from_hosts
-             ? 1
-             : static_cast<uint32_t>(candidates);
+  if (upstreams < options.split_from_upstreams)
+    return 1;
+  return std::clamp<uint32_t>(upstreams / options.min_upstreams_a_shard, 1,
+                              static_cast<uint32_t>(candidates));
 }
 
 wire::owner_grant make_grant(const std::string& zone,
@@ -137,8 +149,9 @@
     zone_owners owners = find_candidates(hosts, zone, now);
     if (owners.empty())
       continue;
-    std::optional<uint32_t> shards = count_shards(
-        log, zone, owners.size(), now - listening_since_ms, options);
+    std::optional<uint32_t> shards =
+        count_shards(log, zone, owners.size(), count_upstreams(hosts, zone),
+                     now - listening_since_ms, options);
     if (!shards)
       continue;
     std::vector<uint32_t> open;
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -8,9 +8,9 @@
 // entry host a shorter time ago, can't tell silence and leaves silent owners
 // alone: after a loss of power all come back one by one, each to its shard.
 //
-// A zone gets as many shards as it has entry hosts when it gets its first
-// owner, or one when they are few; that number stays. Shards are spread evenly
-// over the zone's entry hosts, and moved when one has none.
+// A zone with many upstreams gets as many shards as it has entry hosts when it
+// gets its first owner, any other zone one; that number stays. Shards are
+// spread evenly over the zone's entry hosts, and moved when one has none.
 #ifndef CYCLAMENWOOD_OWNER_POLICY_H_
 #define CYCLAMENWOOD_OWNER_POLICY_H_
 
@@ -31,10 +31,12 @@
 constexpr int64_t SETTLED_MS = 1'000;
 
 struct owner_policy_options {
-  // A zone with fewer entry hosts has one pool, which queues best. At five, one
-  // owner would spend half its processor on the zone's upstreams
-  // (docs/CAPACITY.md).
-  size_t split_from_hosts = 5;
+  // A zone with fewer upstreams has one pool, which queues best. So many bring
+  // about 200 starts a second, 0.05 of a core for one owner: half of what the
+  // smallest entry hosts have (docs/CAPACITY.md).
+  uint32_t split_from_upstreams = 24;
+  // Shards smaller than this leave no room for a wide job.
+  uint32_t min_upstreams_a_shard = 8;
   // A zone gets its first owners after listening for this long: by then its
   // entry hosts have been heard, which sets the number of shards.
   int64_t founding_ms = 1'000;
@@ -55,8 +57,10 @@
   uint64_t sent_version = 0;
   unix_ms config_sent_ms = 0;
   uint64_t sent_change = 0;
-  // Of its last hello: it has all grants up to this token.
+  // Of its last hello: it has all grants up to this token, and knows so many
+  // upstreams of its zone.
   uint64_t have_token = 0;
+  uint32_t upstreams = 0;
 };
 
 using entry_host_map = std::map<std::string, known_entry_host>;
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -338,6 +338,7 @@
   host.have_version = hello.have_version();
   host.sent_change = same_life ? hello.have_change() : 0;
   host.have_token = hello.have_token();
+  host.upstreams = hello.upstreams();
   send_news(envelope.from(), make_news(state, control_group(state), host), out);
   tell_entry_hosts(state, envelope.from(), host, now, out);
 }
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -112,6 +112,7 @@
   entry_host_map hosts;
   for (const char* name : {"e1", "e2", "e3", "e4", "e5", "e6"})
     hosts[name] = heard("kranj", incarnation, heard_ms);
+  hosts["e3"].upstreams = 100;
   return hosts;
 }
 
@@ -137,6 +138,15 @@
   EXPECT_EQ(shards_of(*find_grant(log, "kranj")), 6U);
 }
 
+TEST(owner_policy, a_zone_with_few_upstreams_has_one_pool) {
+  entry_host_map hosts = six_hosts(1, 5000);
+  hosts["e3"].upstreams = 23;
+  EXPECT_EQ(choose_owners({}, hosts, 0, 5000).size(), 1U);
+  // No shard gets fewer than the least.
+  hosts["e3"].upstreams = 24;
+  EXPECT_EQ(choose_owners({}, hosts, 0, 5000).size(), 3U);
+}
+
 // The first entry host to come back after a loss of power got all shards of its
 // zone, more than it can serve, for three seconds.
 TEST(owner_policy, after_a_loss_of_power_each_gets_its_shard_back) {
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -33,7 +33,7 @@
 
 host_model::host_model(uint64_t seed) : random_(seed) {
   if (seed % 2 == 0)
-    owner_policy_.split_from_hosts = 2;
+    owner_policy_ = {.split_from_upstreams = 1, .min_upstreams_a_shard = 1};
   for (const char* zone : {"kranj", "vic"}) {
     for (int i = 1; i <= 2; ++i) {
       std::string name = fmt::format("{}-{}", zone, i);
@@ -226,6 +226,7 @@
       known.first_heard_ms = now_;
     known.incarnation = sent.envelope.incarnation();
     known.zone = from.zone;
+    known.upstreams = sent.envelope.entry_hello().upstreams();
     known.heard_ms = now_;
     return;
   }
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -89,6 +89,7 @@
               wire::run_outcome outcome,
               bool started = true) {
     wire::run_results results;
+    results.set_pool("kranj");
     wire::run_result& result = *results.add_results();
     result.set_submission(submission);
     result.set_task(task);
@@ -342,6 +343,21 @@
   EXPECT_EQ(out.answers.size(), 1U);
 }
 
+// A result that was on its way when the tasks were asked for again speaks only
+// of the first request: the owner may have begun since.
+TEST_F(intake_fixture, what_was_asked_for_again_is_not_said_to_be_refused) {
+  submit(1, "a", make_job(1, 100), 5000);
+  uint64_t submission = requests("e1").at(0).submission();
+  wire::pool_state told;
+  told.set_pool("kranj");
+  told.set_token(1);
+  told.set_requests_lost(true);
+  hear_pool(state, told, now, out);
+  report(submission, 0, wire::RUN_EXPIRED, false);
+  ASSERT_EQ(out.answers.size(), 1U);
+  EXPECT_EQ(out.answers[0].outcome, caller_outcome::given_up);
+}
+
 TEST(pool_choice, pieces_smaller_than_the_task_are_no_room) {
   pool_rooms rooms;
   rooms["own"].free_cpu_milli = {600, 600, 600};
