--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -32,8 +32,9 @@
 // Entry hosts say hello a few times a second.
 constexpr int64_t ENTRY_HOST_EXPIRY_MS = 5'000;
 constexpr int64_t PEERS_INTERVAL_MS = 1'000;
-// Entry hosts and replicas start together and connect within a second or two.
-constexpr int64_t FOUNDING_MS = 3'000;
+// Entry hosts and replicas start together and connect within a second or two;
+// upstreams announce themselves within three seconds more.
+constexpr int64_t FOUNDING_MS = 6'000;
 // The leader's message and the hello that follows it take about 250 ms.
 constexpr int64_t FOLLOWER_PATIENCE_MS = 400;
 // A configuration on its way through a busy link is not sent again: twice the
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -420,7 +420,7 @@
 }
 
 TEST_F(control_fixture, an_owner_is_granted_and_replaced_when_silent) {
-  for (int i = 0; i < 200; ++i) {
+  for (int i = 0; i < 350; ++i) {
     hello("e1", "kranj");
     run_for(20);
   }
@@ -438,7 +438,7 @@
 // A process that was stopped for a while has heard from nobody: it must not
 // take that for everybody's silence.
 TEST_F(control_fixture, a_frozen_leader_replaces_no_owner_when_it_wakes) {
-  for (int i = 0; i < 200; ++i) {
+  for (int i = 0; i < 350; ++i) {
     hello("e1", "kranj");
     hello("e2", "kranj");
     run_for(20);
