--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
+#include <tuple>
 #include <utility>
 
 #include "cyclamenwood/neighbours.h"
@@ -30,6 +32,10 @@
 
 struct host_outbox {
   host_effects effects;
+  // Results of own pools, by the name of the pool, with their receivers. They
+  // are sent after the placement that follows, with the capacity that it
+  // leaves.
+  std::vector<std::tuple<std::string, std::string, wire::run_results>> results;
   std::vector<wire::envelope> to_self;
 };
 
@@ -54,24 +60,31 @@
     out.effects.push_back(std::move(note));
 }
 
-void apply_output(host_entry& state,
-                  pool& source,
-                  pool_output done,
-                  host_outbox& out) {
+void apply_output(pool& source, pool_output done, host_outbox& out) {
   for (run_order& order : done.orders)
     out.effects.push_back(std::move(order));
-  for (auto& [host, results] : done.results) {
-    wire::envelope envelope;
-    *envelope.mutable_run_results() = std::move(results);
-    envelope.mutable_run_results()->set_pool(source.name);
-    send(state, host, std::move(envelope), out);
-  }
+  for (auto& [host, results] : done.results)
+    out.results.emplace_back(source.name, host, std::move(results));
   for (log_event& note : done.events)
     out.effects.push_back(std::move(note));
   if (done.ownership_lost)
     release_ownership(source);
 }
 
+void send_results(host_entry& state, unix_ms now, host_outbox& out) {
+  std::map<std::string, wire::pool_state> described;
+  for (auto& [name, host, results] : std::exchange(out.results, {})) {
+    auto [found, added] = described.try_emplace(name);
+    if (added)
+      found->second = describe_pool(state.pools.at(name), now);
+    wire::envelope envelope;
+    results.set_pool(name);
+    *results.mutable_services() = found->second.services();
+    *envelope.mutable_run_results() = std::move(results);
+    send(state, host, std::move(envelope), out);
+  }
+}
+
 // Returns the pool of this name if this process owns it, or null.
 pool* find_owned(host_entry& state, const std::string& name) {
   auto found = state.pools.find(name);
@@ -149,7 +162,7 @@
       update_upstream(pool, upstream, now, done);
   }
   acquire_ownership(pool, grant.token(), now, done);
-  apply_output(state, pool, std::move(done), out);
+  apply_output(pool, std::move(done), out);
 }
 
 void update_ownership(host_entry& state, unix_ms now, host_outbox& out) {
@@ -259,7 +272,7 @@
       continue;
     pool_output learned;
     update_upstream(pool, reported, now, learned);
-    apply_output(state, pool, std::move(learned), out);
+    apply_output(pool, std::move(learned), out);
   }
 }
 
@@ -296,7 +309,7 @@
   pool_output done;
   update_peer(*requested, envelope.from(), envelope.incarnation(),
               envelope.pool_hello().echo_ms(), now, done);
-  apply_output(state, *requested, std::move(done), out);
+  apply_output(*requested, std::move(done), out);
   wire::envelope reply;
   *reply.mutable_pool_state() =
       answer_hello(*requested, envelope.from(), envelope.pool_hello(), now);
@@ -315,7 +328,7 @@
   if (update_peer(*requested, envelope.from(), envelope.incarnation(),
                   request.echo_ms(), now, done))
     request_runs(*requested, envelope.from(), request, now, done);
-  apply_output(state, *requested, std::move(done), out);
+  apply_output(*requested, std::move(done), out);
 }
 
 void receive_run_release(host_entry& state,
@@ -327,7 +340,7 @@
       continue;
     pool_output done;
     release_runs(pool, submission, now, done);
-    apply_output(state, pool, std::move(done), out);
+    apply_output(pool, std::move(done), out);
   }
 }
 
@@ -399,7 +412,7 @@
   for (auto& [name, pool] : state.pools) {
     pool_output ticked;
     tick_pool(pool, event.now, ticked);
-    apply_output(state, pool, std::move(ticked), out);
+    apply_output(pool, std::move(ticked), out);
   }
   intake_output taken;
   tick_intake(state.callers, event.now, taken);
@@ -432,7 +445,7 @@
       continue;
     pool_output replied;
     order_replied(pool, event.order, event.reply, event.now, replied);
-    apply_output(state, pool, std::move(replied), out);
+    apply_output(pool, std::move(replied), out);
   }
 }
 
@@ -481,8 +494,9 @@
     for (auto& [name, pool] : state.pools) {
       pool_output placed;
       place_tasks(pool, now, placed);
-      apply_output(state, pool, std::move(placed), out);
+      apply_output(pool, std::move(placed), out);
     }
+    send_results(state, now, out);
   } while (!out.to_self.empty());
   return std::move(out.effects);
 }
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -36,6 +36,9 @@
 // to 40%, and a slow task is moved once.
 constexpr int64_t DRAIN_ALLOWANCE = 2;
 constexpr int64_t DRAIN_MARGIN_MS = 300;
+// A task is queued after its return by this many pools. By then the states of
+// most neighbours are as recent as those returns.
+constexpr uint32_t MAX_RETURNS = 4;
 // Lower bound of the retry time of refusals: the shortest that can be sent, in
 // whole seconds.
 constexpr int64_t MIN_RETRY_AFTER_MS = 1'000;
@@ -191,11 +194,15 @@
 void apply_plan(intake& intake,
                 intake_job& job,
                 uint32_t index,
-                step_plan planned) {
-  auto pool = planned.pools.pools.begin();
+                step_plan&& planned) {
+  const pool_plan& plan = planned.pools;
+  size_t next = 0;
   for (intake_task& task : job.steps[index].tasks) {
-    if (is_unassigned(task) && pool != planned.pools.pools.end())
-      task.pool = *pool++;
+    if (!is_unassigned(task) || next == plan.pools.size())
+      continue;
+    task.pool = plan.pools[next];
+    task.returnable = !plan.queued[next] && task.returns < MAX_RETURNS;
+    ++next;
   }
   for (auto& [name, room] : planned.rooms)
     intake.pools[name].rooms[job.queue.service] = std::move(room);
@@ -228,8 +235,7 @@
 
 // ---- Sending ----------------------------------------------------------------
 
-// Makes a request for those tasks of the step that are assigned to the pool and
-// have not ended.
+// Makes a request for tasks of the step, without the tasks.
 wire::run_request make_request(const intake_job& job,
                                uint64_t submission,
                                uint32_t index,
@@ -240,11 +246,6 @@
   request.set_submission(submission);
   request.set_job(job.id);
   request.set_step(index);
-  for (uint32_t task = 0; task < step.count; ++task) {
-    const intake_task& state = job.steps[index].tasks[task];
-    if (!state.ended && state.pool == pool)
-      request.add_tasks(task);
-  }
   request.set_spec(job.job.spec);
   *request.mutable_need() = step.need;
   request.set_label(step.label);
@@ -268,21 +269,73 @@
       [&job](uint32_t earlier) { return job.steps[earlier].unfinished == 0; });
 }
 
-// Sends the tasks of a step that are assigned to one pool and have not ended to
-// the pool's owner.
-void send_to_pool(intake& intake,
-                  uint64_t submission,
-                  uint32_t index,
-                  const std::string& name,
-                  unix_ms now,
+// Sends a request to the pool's owner.
+void send_request(intake& intake,
+                  intake_job& job,
+                  wire::run_request request,
                   intake_output& out) {
+  const std::string& name = request.pool();
+  const wire::owner_grant& grant = intake.grants.at(name);
+  if (const pool_view* pool = find_current_pool(intake, name)) {
+    request.set_echo_ms(pool->clock_ms);
+    if (request.resumed())
+      *request.mutable_former_upstreams() = {pool->former_upstreams.begin(),
+                                             pool->former_upstreams.end()};
+  }
+  ++intake.pools[name].requests_sent;
+  job.pools[name] = grant.token();
+  wire::envelope envelope;
+  *envelope.mutable_run_request() = std::move(request);
+  out.messages.emplace_back(grant.host(), std::move(envelope));
+}
+
+// Sends the tasks of a step that are assigned to the pool and were not sent
+// yet. Those that may be returned go into a request of their own.
+void send_new_tasks(intake& intake,
+                    uint64_t submission,
+                    uint32_t index,
+                    const std::string& name,
+                    unix_ms now,
+                    intake_output& out) {
   intake_job& job = intake.jobs.at(submission);
-  auto grant = intake.grants.find(name);
-  if (grant == intake.grants.end())
+  if (!intake.grants.contains(name))
     return;
-  wire::envelope envelope;
-  wire::run_request& request = *envelope.mutable_run_request();
-  request = make_request(job, submission, index, name, now);
+  for (bool returnable : {true, false}) {
+    wire::run_request request = make_request(job, submission, index, name, now);
+    request.set_returnable(returnable);
+    for (uint32_t task = 0; task < job.steps[index].tasks.size(); ++task) {
+      intake_task& state = job.steps[index].tasks[task];
+      bool belongs = !state.ended && !state.sent && state.pool == name &&
+                     state.returnable == returnable;
+      if (!belongs)
+        continue;
+      state.sent = true;
+      request.add_tasks(task);
+    }
+    if (!request.tasks().empty())
+      send_request(intake, job, std::move(request), out);
+  }
+}
+
+// Sends all tasks of a step that are assigned to the pool and have not ended.
+void send_all_tasks(intake& intake,
+                    uint64_t submission,
+                    uint32_t index,
+                    const std::string& name,
+                    unix_ms now,
+                    intake_output& out) {
+  intake_job& job = intake.jobs.at(submission);
+  if (!intake.grants.contains(name))
+    return;
+  wire::run_request request = make_request(job, submission, index, name, now);
+  for (uint32_t task = 0; task < job.steps[index].tasks.size(); ++task) {
+    intake_task& state = job.steps[index].tasks[task];
+    if (state.ended || state.pool != name)
+      continue;
+    state.sent = true;
+    state.returnable = false;
+    request.add_tasks(task);
+  }
   if (request.tasks().empty())
     return;
   request.set_resumed(job.pools.contains(name));
@@ -290,15 +343,7 @@
   // from then on, even if a result reports that no task was started: that
   // result may be older than this request.
   job.started = job.started || request.resumed();
-  if (const pool_view* pool = find_current_pool(intake, name)) {
-    request.set_echo_ms(pool->clock_ms);
-    if (request.resumed())
-      *request.mutable_former_upstreams() = {pool->former_upstreams.begin(),
-                                             pool->former_upstreams.end()};
-  }
-  ++intake.pools[name].requests_sent;
-  job.pools[name] = grant->second.token();
-  out.messages.emplace_back(grant->second.host(), std::move(envelope));
+  send_request(intake, job, std::move(request), out);
 }
 
 // Requests again all tasks that are assigned to a pool and have not ended.
@@ -310,11 +355,16 @@
     if (!job.pools.contains(name))
       continue;
     for (uint32_t index = 0; index < job.steps.size(); ++index)
-      send_to_pool(intake, submission, index, name, now, out);
+      send_all_tasks(intake, submission, index, name, now, out);
   }
 }
 
-// Sends the runnable steps: with `all`, those that were sent before too.
+bool has_unassigned(const intake_step& step) {
+  return std::any_of(step.tasks.begin(), step.tasks.end(), is_unassigned);
+}
+
+// Assigns the unassigned tasks of runnable steps and sends them: with `all`,
+// those that were sent before too.
 void send_steps(intake& intake,
                 uint64_t submission,
                 bool all,
@@ -323,15 +373,19 @@
   intake_job& job = intake.jobs.at(submission);
   job.sent_ms = now;
   for (uint32_t index = 0; index < job.steps.size(); ++index) {
-    bool unsent = job.steps[index].tasks.front().pool.empty();
-    if (!is_runnable(job, index) || !(unsent || all))
+    if (!is_runnable(job, index))
       continue;
-    apply_plan(intake, job, index, plan_step(intake, job, index, now));
+    if (has_unassigned(job.steps[index]))
+      apply_plan(intake, job, index, plan_step(intake, job, index, now));
     std::set<std::string> pools;
     for (const intake_task& task : job.steps[index].tasks)
       pools.insert(task.pool);
-    for (const std::string& name : pools)
-      send_to_pool(intake, submission, index, name, now, out);
+    for (const std::string& name : pools) {
+      if (all)
+        send_all_tasks(intake, submission, index, name, now, out);
+      else
+        send_new_tasks(intake, submission, index, name, now, out);
+    }
   }
 }
 
@@ -401,7 +455,7 @@
     return;
   }
   apply_plan(intake, added, 0, std::move(first));
-  send_steps(intake, submission, true, now, out);
+  send_steps(intake, submission, false, now, out);
 }
 
 }  // namespace
@@ -512,6 +566,14 @@
   return next;
 }
 
+static void read_rooms(
+    pool_view& pool,
+    const google::protobuf::RepeatedPtrField<wire::service_room>& services) {
+  pool.rooms.clear();
+  for (const wire::service_room& room : services)
+    pool.rooms[room.service()] = read_resources(room);
+}
+
 void receive_pool_state(intake& intake,
                         const wire::pool_state& state,
                         unix_ms now,
@@ -529,9 +591,7 @@
     pool.upstreams_version = state.upstreams_version();
     pool.upstreams = {state.upstreams().begin(), state.upstreams().end()};
   }
-  pool.rooms.clear();
-  for (const wire::service_room& room : state.services())
-    pool.rooms[room.service()] = read_resources(room);
+  read_rooms(pool, state.services());
   if (is_new_owner || lost)
     resend_missing(intake, state.pool(), now, out);
 }
@@ -548,15 +608,45 @@
   return hello;
 }
 
+// Handles a task that the owner of `pool` returned: it becomes unassigned.
+// Returns whether it did.
+static bool take_back_task(intake_job& job,
+                           const wire::run_result& result,
+                           const std::string& pool) {
+  intake_task& task = job.steps[result.step()].tasks[result.task()];
+  if (task.pool != pool || !task.returnable)
+    return false;
+  task.pool.clear();
+  task.sent = false;
+  task.returnable = false;
+  ++task.returns;
+  // An owner that has returned all tasks of a job has dropped the job.
+  bool remains =
+      std::any_of(job.steps.begin(), job.steps.end(), [&](const auto& step) {
+        return std::any_of(
+            step.tasks.begin(), step.tasks.end(),
+            [&](const auto& other) { return other.pool == pool; });
+      });
+  if (!remains)
+    job.pools.erase(pool);
+  return true;
+}
+
 void receive_run_results(intake& intake,
                          const std::string& from,
                          const wire::run_results& results,
                          unix_ms now,
                          intake_output& out) {
   auto grant = intake.grants.find(results.pool());
-  if (grant != intake.grants.end() && grant->second.host() == from)
-    ++intake.pools[results.pool()].results_received;
-  std::vector<uint64_t> updated_jobs;
+  if (grant != intake.grants.end() && grant->second.host() == from) {
+    pool_view& pool = intake.pools[results.pool()];
+    ++pool.results_received;
+    // Owners of earlier versions don't report their capacity with results.
+    bool is_current = pool.token == grant->second.token();
+    if (is_current && !results.services().empty())
+      read_rooms(pool, results.services());
+  }
+  std::set<uint64_t> updated_jobs;
   for (const wire::run_result& result : results.results()) {
     auto found = intake.jobs.find(result.submission());
     if (found == intake.jobs.end() ||
@@ -576,7 +666,10 @@
     if (result.outcome() == wire::RUN_DONE) {
       step.tasks[result.task()].ended = true;
       --step.unfinished;
-      updated_jobs.push_back(result.submission());
+      updated_jobs.insert(result.submission());
+    } else if (result.outcome() == wire::RUN_RETURNED) {
+      if (take_back_task(job, result, results.pool()))
+        updated_jobs.insert(result.submission());
     } else if (result.outcome() == wire::RUN_FAILED) {
       end_job(intake, result.submission(), caller_outcome::failed,
               "attempts_used_up", now, out);
@@ -602,8 +695,13 @@
   }
 }
 
-static int64_t resend_interval_ms(const intake_job& job) {
-  return job.pools.empty() ? UNASSIGNED_RETRY_MS : RESEND_MS;
+// Whether tasks are unassigned that could be sent.
+static bool has_unassigned_tasks(const intake_job& job) {
+  for (uint32_t index = 0; index < job.steps.size(); ++index) {
+    if (is_runnable(job, index) && has_unassigned(job.steps[index]))
+      return true;
+  }
+  return false;
 }
 
 void tick_intake(intake& intake, unix_ms now, intake_output& out) {
@@ -611,8 +709,11 @@
   for (auto& [submission, job] : intake.jobs) {
     if (now >= std::min(job.deadline_ms, intake.answer_by_ms))
       expired.push_back(submission);
-    else if (now >= job.sent_ms + resend_interval_ms(job))
+    else if (now >= job.sent_ms + RESEND_MS)
       send_steps(intake, submission, true, now, out);
+    else if (now >= job.sent_ms + UNASSIGNED_RETRY_MS &&
+             has_unassigned_tasks(job))
+      send_steps(intake, submission, false, now, out);
   }
   for (uint64_t submission : expired) {
     const intake_job& job = intake.jobs.at(submission);
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -102,8 +102,15 @@
 
 struct intake_task {
   bool ended = false;
-  // Name of the pool that it was sent to; empty: not assigned yet.
+  // Name of the pool that it is assigned to; empty: none.
   std::string pool;
+  // It was sent to this pool.
+  bool sent = false;
+  // The pool's owner may return it instead of queueing it, and has not been
+  // asked for it again since. Only then can a return be accepted: on a repeated
+  // request the owner may start a task that it has returned.
+  bool returnable = false;
+  uint32_t returns = 0;
 };
 
 struct intake_step {
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -126,6 +126,9 @@
 
 struct pool_task {
   bool queued = true;
+  // To be returned to the entry host if it can't start at once. Only a task
+  // that was never placed has this set.
+  bool returnable = false;
   uint32_t failures = 0;
   uint32_t next_attempt = 1;
   // Upstreams where an attempt failed or progressed too slowly.
--- a/cyclamenwood/pool_choice.cc
+++ b/cyclamenwood/pool_choice.cc
@@ -92,7 +92,8 @@
   for (size_t task = 0; task < count; ++task) {
     const std::string& chosen = choose_pool(capacities, load);
     pool_capacity& capacity = capacities.at(chosen);
-    if (!reserve_slot(capacity, load.cpu_milli)) {
+    plan.queued.push_back(!reserve_slot(capacity, load.cpu_milli));
+    if (plan.queued.back()) {
       plan.wait_ms = std::max(plan.wait_ms, wait_ms(capacity, load.priority));
       plan.overloaded = plan.overloaded || capacity.overloaded;
       capacity.queued[load.priority] += load.cpu_milli * load.estimate_ms;
--- a/cyclamenwood/pool_choice.h
+++ b/cyclamenwood/pool_choice.h
@@ -60,6 +60,8 @@
 struct pool_plan {
   // One for each task; empty if no pool's capacity is known.
   std::vector<std::string> pools;
+  // For each task: no capacity is free for it in its pool.
+  std::vector<bool> queued;
   // The time until the last of the tasks can start.
   int64_t wait_ms = 0;
   // A task must be queued in a pool that is overloaded.
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -28,6 +28,13 @@
                  wire::run_outcome outcome,
                  pool_output& out);
 
+// Returns the queued tasks that may be returned and that no run or end found
+// here may belong to; drops the job if no task remains.
+void return_tasks(pool& pool,
+                  const pool_job_id& id,
+                  unix_ms now,
+                  pool_output& out);
+
 // Updates the task after its run was settled: the task is reported or queued
 // again.
 void task_run_settled(pool& pool,
@@ -74,8 +81,18 @@
 
 // ---- pool_refuse.cc ---------------------------------------------------------
 
-// Adds the work of a new request to the load of its service.
-void record_load(pool& pool, const wire::run_request& request, unix_ms now);
+// Adds the work of `tasks` new tasks of the request to the load of its service.
+void record_load(pool& pool,
+                 const wire::run_request& request,
+                 size_t tasks,
+                 unix_ms now);
+
+// Removes the work of `tasks` tasks of the request from the load of its
+// service.
+void subtract_load(pool& pool,
+                   const wire::run_request& request,
+                   size_t tasks,
+                   unix_ms now);
 
 // Whether work arrives faster than this processor capacity can process it.
 bool is_overloaded(const pool& pool,
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "cyclamenwood/pool_internal.h"
 
@@ -206,15 +207,54 @@
     job.started = request.resumed();
     job.former_upstreams = {request.former_upstreams().begin(),
                             request.former_upstreams().end()};
-    record_load(pool, request, now);
   }
+  size_t new_tasks = 0;
   for (uint32_t task : request.tasks()) {
     auto [state, is_new] = job.tasks.try_emplace(task);
-    if (state->second.outcome != wire::RUN_UNSPECIFIED)
+    new_tasks += is_new ? 1 : 0;
+    if (state->second.outcome != wire::RUN_UNSPECIFIED) {
       add_result(pool, out, job, task, state->second);
-    else if (is_new && !adopt_task(pool, job, task, out))
+    } else if (is_new && !adopt_task(pool, job, task, out)) {
+      state->second.returnable = request.returnable() && !request.resumed();
       enqueue_task(pool, job, task);
+    }
   }
+  record_load(pool, request, new_tasks, now);
+}
+
+void return_tasks(pool& pool,
+                  const pool_job_id& id,
+                  unix_ms now,
+                  pool_output& out) {
+  auto found = pool.jobs.find(id);
+  if (found == pool.jobs.end())
+    return;
+  pool_job& job = found->second;
+  size_t returned = 0;
+  for (auto item = job.tasks.begin(); item != job.tasks.end();) {
+    auto& [index, task] = *item;
+    bool may_return = task.queued && std::exchange(task.returnable, false);
+    // A run that was ordered for another submission of the job must end first;
+    // in another pool the task would not wait for it.
+    if (!may_return || pool.placed.contains(task_name(job.request, index))) {
+      ++item;
+      continue;
+    }
+    task.outcome = wire::RUN_RETURNED;
+    add_result(pool, out, job, index, task);
+    ++returned;
+    item = job.tasks.erase(item);
+  }
+  if (returned == 0)
+    return;
+  subtract_load(pool, job.request, returned, now);
+  bool has_queued =
+      std::any_of(job.tasks.begin(), job.tasks.end(),
+                  [](const auto& item) { return item.second.queued; });
+  if (!has_queued)
+    pool.queue.erase(key_of(job));
+  if (job.tasks.empty())
+    pool.jobs.erase(found);
 }
 
 void release_runs(pool& pool,
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -3,7 +3,9 @@
 // Tasks are processed in the order of their jobs' keys. Each task goes to the
 // upstream where it leaves the least processor capacity free (best fit), so
 // that large gaps remain available to large tasks. A task that fits on no
-// upstream is skipped.
+// upstream is skipped, or returned to its entry host if that asked for it: the
+// entry host knows of capacity elsewhere, where the task starts sooner than it
+// would here.
 //
 // This handles load that is close to the capacity, with bursts above it. The
 // queue then contains jobs of all priorities, and jobs that can no longer
@@ -238,6 +240,8 @@
     if (placed.started_any)
       largest_free.measure();
   }
+  for (const queue_key& key : waiting)
+    return_tasks(pool, std::get<pool_job_id>(key), now, out);
   reject_unservable_jobs(pool, now, out);
 }
 
--- a/cyclamenwood/pool_refuse.cc
+++ b/cyclamenwood/pool_refuse.cc
@@ -59,6 +59,11 @@
          (overloaded && job.late);
 }
 
+double work_of(const wire::run_request& request, size_t tasks) {
+  return static_cast<double>(tasks) * request.need().cpu_milli() *
+         static_cast<double>(request.estimate_ms());
+}
+
 // The meter's work, decayed to the current time.
 double decayed_work(const load_meter& meter, unix_ms now) {
   auto span = static_cast<double>(now - meter.read_ms);
@@ -83,17 +88,26 @@
   auto queued =
       std::count_if(job.tasks.begin(), job.tasks.end(),
                     [](const auto& item) { return item.second.queued; });
-  return static_cast<double>(queued) * job.request.need().cpu_milli() *
-         static_cast<double>(job.request.estimate_ms());
+  return work_of(job.request, queued);
 }
 
-void record_load(pool& pool, const wire::run_request& request, unix_ms now) {
+void record_load(pool& pool,
+                 const wire::run_request& request,
+                 size_t tasks,
+                 unix_ms now) {
+  load_meter& meter = pool.load[request.service()];
+  meter.work = decayed_work(meter, now) + work_of(request, tasks);
+  meter.read_ms = now;
+}
+
+void subtract_load(pool& pool,
+                   const wire::run_request& request,
+                   size_t tasks,
+                   unix_ms now) {
   load_meter& meter = pool.load[request.service()];
-  meter.work = decayed_work(meter, now);
+  meter.work =
+      std::max(decayed_work(meter, now) - work_of(request, tasks), 0.0);
   meter.read_ms = now;
-  meter.work += static_cast<double>(request.tasks_size()) *
-                request.need().cpu_milli() *
-                static_cast<double>(request.estimate_ms());
 }
 
 void reject_unservable_jobs(pool& pool, unix_ms now, pool_output& out) {
--- a/cyclamenwood/testing/fake_upstream.cc
+++ b/cyclamenwood/testing/fake_upstream.cc
@@ -80,7 +80,8 @@
     ++rejected_no_room_;
     return order_outcome::no_room;
   }
-  runs_[order.task] = {order.attempt, cpu, now, now + (failing_ ? 1 : run_ms_)};
+  int64_t run_ms = run_ms_of ? run_ms_of(order.task) : run_ms_;
+  runs_[order.task] = {order.attempt, cpu, now, now + (failing_ ? 1 : run_ms)};
   ++starts_;
   return order_outcome::accepted;
 }
--- a/cyclamenwood/testing/fake_upstream.h
+++ b/cyclamenwood/testing/fake_upstream.h
@@ -37,6 +37,9 @@
   std::function<uint32_t(const std::string& task)> cpu_of =
       [](const std::string&) { return 1000; };
 
+  // Returns the time that a run of the task takes; `run_ms` if it is not set.
+  std::function<int64_t(const std::string& task)> run_ms_of;
+
   order_reply carry_out(const run_order& order, unix_ms now);
 
   // Ends the runs that are complete at this time, or whose lease has expired.
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -99,6 +99,20 @@
     receive_run_results(state, "e1", results, now, out);
   }
 
+  // The owner of "kranj" returns task 0 and has no free capacity.
+  void return_task(uint64_t submission) {
+    wire::run_results results;
+    results.set_pool("kranj");
+    wire::run_result& result = *results.add_results();
+    result.set_submission(submission);
+    result.set_outcome(wire::RUN_RETURNED);
+    wire::service_room& room = *results.add_services();
+    room.set_service("fit-desk");
+    room.set_total_cpu_milli(4000);
+    room.add_free_cpu_milli(0);
+    receive_run_results(state, "e1", results, now, out);
+  }
+
   std::vector<wire::run_request> requests(const std::string& host) const {
     std::vector<wire::run_request> found;
     for (const auto& [to, envelope] : out.messages) {
@@ -282,6 +296,56 @@
   EXPECT_EQ(requests("e1")[1].step(), 1U);
 }
 
+// The pool was chosen from an outdated state: its owner returns a task, with
+// its capacity, and the task goes to a pool that has some.
+TEST_F(intake_fixture, a_returned_task_goes_to_another_pool) {
+  submit(1, "a", make_job(1, 100));
+  ASSERT_EQ(requests("e1").size(), 1U);
+  EXPECT_TRUE(requests("e1")[0].returnable());
+  uint64_t submission = requests("e1")[0].submission();
+  return_task(submission);
+  ASSERT_EQ(requests("e2").size(), 1U);
+  EXPECT_EQ(requests("e2")[0].submission(), submission);
+  EXPECT_FALSE(requests("e2")[0].resumed());
+  EXPECT_TRUE(out.answers.empty());
+  // The first pool has dropped the job; only the second one is released.
+  now += 2000;
+  tick_intake(state, now, out);
+  for (const auto& [host, envelope] : out.messages)
+    EXPECT_FALSE(host == "e1" && envelope.has_run_release());
+}
+
+// The task was requested again, and the owner may have started it since it sent
+// the return.
+TEST_F(intake_fixture, a_return_that_a_repeated_request_overtook_is_ignored) {
+  submit(1, "a", make_job(1, 100));
+  ASSERT_EQ(requests("e1").size(), 1U);
+  wire::pool_state lost;
+  lost.set_pool("kranj");
+  lost.set_token(1);
+  lost.set_requests_lost(true);
+  receive_pool_state(state, lost, now, out);
+  ASSERT_EQ(requests("e1").size(), 2U);
+  EXPECT_TRUE(requests("e1")[1].resumed());
+  EXPECT_FALSE(requests("e1")[1].returnable());
+  return_task(requests("e1")[0].submission());
+  EXPECT_TRUE(requests("e2").empty());
+}
+
+// Where no pool has free capacity, the task is queued in one of them.
+TEST_F(intake_fixture, a_task_is_queued_when_no_pool_has_capacity) {
+  report_capacity("vic", 2, {0});
+  submit(1, "a", make_job(1, 100));
+  ASSERT_EQ(requests("e1").size(), 1U);
+  return_task(requests("e1")[0].submission());
+  size_t queued = 0;
+  for (const char* host : {"e1", "e2"}) {
+    for (const wire::run_request& request : requests(host))
+      queued += request.returnable() ? 0 : 1;
+  }
+  EXPECT_EQ(queued, 1U);
+}
+
 TEST_F(intake_fixture, an_unknown_route_and_a_missing_configuration) {
   caller_call call;
   call.host = "h";
--- a/cyclamenwood/testing/pool_load_test.cc
+++ b/cyclamenwood/testing/pool_load_test.cc
@@ -215,5 +215,50 @@
   EXPECT_EQ(upstream.runs().size(), 1U);
 }
 
+// Load: more tasks than free capacity, while other pools may have some. The
+// tasks that can't start are returned at once and are never started here, and
+// they don't count as load of this pool.
+TEST_F(pool_fixture, returnable_tasks_without_free_capacity_are_returned) {
+  fake_upstream& upstream = add_upstream("u1", 2000);
+  own(1);
+  run_until(now + 20);
+  wire::run_request wanted = request(7, "j1", 5);
+  wanted.set_returnable(true);
+  ask(wanted);
+  EXPECT_EQ(count(wire::RUN_RETURNED), 3U);
+  EXPECT_TRUE(state.queue.empty());
+  double work_of_two = 2.0 * 1000 * RUN_MS;
+  EXPECT_NEAR(state.load.at("fit-desk").work, work_of_two, 1.0);
+  run_until(now + 3 * RUN_MS);
+  EXPECT_EQ(count(wire::RUN_DONE), 2U);
+  EXPECT_EQ(upstream.starts(), 2U);
+}
+
+TEST_F(pool_fixture, a_job_of_which_all_tasks_are_returned_is_dropped) {
+  own(1);
+  wire::run_request wanted = request(7, "j1", 2);
+  wanted.set_returnable(true);
+  ask(wanted);
+  EXPECT_EQ(count(wire::RUN_RETURNED), 2U);
+  EXPECT_TRUE(state.jobs.empty());
+  EXPECT_TRUE(state.queue.empty());
+}
+
+// The task was ordered for an earlier submission of its job and that run has
+// not ended. In another pool it would start beside that run.
+TEST_F(pool_fixture, a_task_with_an_unsettled_run_is_not_returned) {
+  add_upstream("u1", 2000);
+  own(1);
+  run_until(now + 20);
+  ask(request(7, "j1", 1), "e1");
+  run_until(now + 20);
+  wire::run_request again = request(8, "j1", 1);
+  again.set_returnable(true);
+  ask(again, "e2");
+  EXPECT_EQ(count(wire::RUN_RETURNED), 0U);
+  run_until(now + 3 * RUN_MS);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+}
+
 }  // namespace
 }  // namespace cyclamenwood
