--- a/cyclamenwood/directory.cc
+++ b/cyclamenwood/directory.cc
@@ -2,6 +2,8 @@
 // the position of a reader is one integer.
 #include "cyclamenwood/directory.h"
 
+#include <utility>
+
 namespace cyclamenwood {
 namespace {
 
@@ -27,8 +29,14 @@
       return false;
   }
   record.last_contact_ms = now;
-  bool news = added || has_changed(record.upstream, announced);
-  record.upstream = announced;
+  // An announcement that was sent before the upstream left may arrive later.
+  bool has_left = record.upstream.state() == wire::UPSTREAM_LEAVING &&
+                  record.upstream.incarnation() == announced.incarnation();
+  wire::upstream current = announced;
+  if (has_left)
+    current.set_state(wire::UPSTREAM_LEAVING);
+  bool news = added || has_changed(record.upstream, current);
+  record.upstream = std::move(current);
   if (news)
     record.change = ++directory.last_change;
   return news;
--- a/cyclamenwood/directory.h
+++ b/cyclamenwood/directory.h
@@ -30,8 +30,8 @@
   std::map<std::string, directory_record> records;
 };
 
-// Handles an announcement. Returns whether it is a change that readers must
-// get.
+// Handles an announcement; leaving is final within an incarnation. Returns
+// whether it is a change that readers must get.
 bool receive_announcement(upstream_directory& directory,
                           const wire::upstream& announced,
                           unix_ms now);
--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -270,8 +270,9 @@
     bool belongs = shard_of(reported.id(), shards_of(grant)) == grant.shard();
     if (!belongs)
       continue;
+    // The pool may have forgotten that the upstream has left; `known` has not.
     pool_output learned;
-    update_upstream(pool, reported, now, learned);
+    update_upstream(pool, known, now, learned);
     apply_output(pool, std::move(learned), out);
   }
 }
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -238,6 +238,23 @@
   EXPECT_EQ(other_zone_updates.upstreams_size(), 0);
 }
 
+// An upstream has left. An announcement that it sent before, of which this
+// replica had received neither it nor a later one, arrives after that.
+TEST(directory, an_upstream_that_has_left_stays_so) {
+  upstream_directory directory;
+  receive_announcement(directory, announcement(5, 1, wire::UPSTREAM_READY),
+                       1000);
+  ASSERT_TRUE(mark_leaving(directory, announcement(5, 1, {}).id()));
+  EXPECT_FALSE(receive_announcement(
+      directory, announcement(5, 2, wire::UPSTREAM_READY), 2000));
+  wire::control_news updates;
+  add_changes(directory, "kranj", 0, updates);
+  ASSERT_EQ(updates.upstreams_size(), 1);
+  EXPECT_EQ(updates.upstreams(0).state(), wire::UPSTREAM_LEAVING);
+  EXPECT_TRUE(receive_announcement(
+      directory, announcement(6, 1, wire::UPSTREAM_READY), 3000));
+}
+
 // Replicas on a network that delivers at once, except to and from the hosts in
 // `cut`.
 class control_fixture : public testing::Test {
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -583,6 +583,50 @@
 }
 
 // Two owners of one upstream would reject each other's orders by fencing.
+// The owner has forgotten an upstream that has left. A replica that did not
+// hear of the leave, as it was restarted or partitioned, still reports the
+// upstream as ready.
+TEST(host_entry, an_upstream_that_has_left_is_not_used_again) {
+  host_settings settings;
+  settings.rpc = "e1";
+  settings.zone = "kranj";
+  host_entry state = make_host_entry(settings, 1, [](std::string_view) {
+    return result<route_table>(route_table());
+  });
+  unix_ms now = 1000;
+  auto report = [&](const std::string& replica, wire::upstream_state known) {
+    wire::envelope envelope;
+    envelope.set_from(replica);
+    wire::control_news& news = *envelope.mutable_control_news();
+    wire::owner_grant& grant = *news.add_grants();
+    grant.set_zone("kranj");
+    grant.set_host("e1");
+    grant.set_incarnation(1);
+    grant.set_token(5);
+    wire::upstream& upstream = *news.add_upstreams();
+    upstream.set_id("u1");
+    upstream.set_incarnation(3);
+    upstream.set_zone("kranj");
+    upstream.set_state(known);
+    reduce(state, host_received{now, envelope});
+  };
+  report("r1", wire::UPSTREAM_READY);
+  report("r1", wire::UPSTREAM_LEAVING);
+  const pool& owned = state.pools.at("kranj");
+  // It does not answer any more.
+  for (; owned.upstreams.contains("u1") && now < 30'000; now += 20) {
+    auto orders = owned.orders;
+    for (const auto& [id, order] : orders)
+      reduce(state, host_order_replied{now, id, {}});
+    reduce(state, host_tick{now});
+  }
+  ASSERT_FALSE(owned.upstreams.contains("u1"));
+  report("r2", wire::UPSTREAM_READY);
+  auto known = owned.upstreams.find("u1");
+  EXPECT_TRUE(known == owned.upstreams.end() ||
+              known->second.info.state() == wire::UPSTREAM_LEAVING);
+}
+
 TEST(host_entry, an_owner_takes_the_upstreams_of_its_shard_only) {
   host_settings settings;
   settings.rpc = "e1";
