--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -106,6 +106,16 @@
   return text.empty() ? "none" : text;
 }
 
+// How often owners returned tasks of the job.
+uint32_t count_returns(const intake_job& job) {
+  uint32_t returns = 0;
+  for (const intake_step& step : job.steps) {
+    for (const intake_task& task : step.tasks)
+      returns += task.returns;
+  }
+  return returns;
+}
+
 void end_job(intake& intake,
              uint64_t submission,
              caller_outcome outcome,
@@ -122,13 +132,14 @@
   out.notes.push_back(
       {"job_ended",
        fmt::format("job={} queue={} outcome={} reason={} ms={} wait_ms={} "
-                   "tasks={} cpu_milli={} estimate_ms={} owners={} version={}",
+                   "tasks={} cpu_milli={} estimate_ms={} returns={} owners={} "
+                   "version={}",
                    job.id, job.queue.name, to_string(outcome), reason,
                    now - job.arrived_ms, job.deadline_ms - job.arrived_ms,
                    job.job.steps.front().count,
                    job.job.steps.front().need.cpu_milli(),
-                   critical_path_ms(job.job), describe_owners(job),
-                   intake.routes->version)});
+                   critical_path_ms(job.job), count_returns(job),
+                   describe_owners(job), intake.routes->version)});
   remove_job(intake, submission, out);
 }
 
