Owners log each lost run: its task, the upstream's incarnation and the evidence

Callers saw 504 and late answers while upstreams crashed. The logs counted the lost runs of an upstream, so that they could not show whether one task caused several crashes, whether its attempts were counted from one again, or whether upstreams were only cut off. run_lost now names task, attempt, incarnation and evidence; an order reply says whether the connection was refused.

No decision changes.

--- a/cyclamenwood/order.h
+++ b/cyclamenwood/order.h
@@ -85,6 +85,9 @@
 
 struct order_reply {
   order_outcome outcome = order_outcome::unanswered;
+  // Unanswered orders: the upstream's host refused the connection, so that no
+  // process listens there.
+  bool connection_refused = false;
   // The upstream's clock when it replied; 0 if not reported.
   int64_t clock_ms = 0;
   // The incarnation that replied; 0 if not reported.
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -80,6 +80,9 @@
   // The progress as of the latest list, and the time of its last increase.
   int64_t percent = 0;
   unix_ms last_progress_ms = 0;
+  // The incarnation of the upstream before the present one, if the run may
+  // belong to it; otherwise 0.
+  uint64_t past_incarnation = 0;
 };
 
 // An amount of resources; may exceed the capacity of an upstream.
@@ -113,6 +116,8 @@
   // lists without extending the lease, so that the runs end if the upstream is
   // partitioned from its owner.
   bool reachable = true;
+  // The last order was unanswered since no process listens at the address.
+  bool connection_refused = false;
   unix_ms next_renewal_ms = 0;
   unix_ms last_contact_ms = 0;
   // No task is started there before this time.
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -3,6 +3,7 @@
 #define CYCLAMENWOOD_POOL_INTERNAL_H_
 
 #include <string>
+#include <string_view>
 
 #include "cyclamenwood/pool.h"
 
@@ -62,6 +63,50 @@
               unix_ms now,
               pool_output& out);
 
+// Removes a settled run: its resources are free and its task may run elsewhere.
+void end_run(pool& pool,
+             leased_upstream& upstream,
+             const std::string& name,
+             run_end how,
+             pool_output& out);
+
+// ---- pool_losses.cc ---------------------------------------------------------
+
+// What the owner knows of the end of an upstream that took a run with it.
+enum class loss_evidence {
+  // It had announced that it was leaving.
+  left,
+  // It didn't answer until its leases had expired: it may have crashed, or may
+  // have been cut off.
+  silent,
+  // As above, and its host refused connections: no process was left there.
+  refused,
+  // A later incarnation of it answered or announced itself.
+  restarted,
+  // Another upstream answered at its address.
+  replaced,
+};
+
+std::string_view to_string(loss_evidence evidence);
+
+// The evidence for an upstream whose leases have expired.
+loss_evidence evidence_of_silence(const leased_upstream& upstream);
+
+// Ends a run that was lost together with its upstream.
+void lose_run(pool& pool,
+              leased_upstream& upstream,
+              const std::string& name,
+              loss_evidence evidence,
+              unix_ms now,
+              pool_output& out);
+
+// As above, for all runs of the upstream.
+void lose_all_runs(pool& pool,
+                   leased_upstream& upstream,
+                   loss_evidence evidence,
+                   unix_ms now,
+                   pool_output& out);
+
 // ---- pool_progress.cc -------------------------------------------------------
 
 // Updates the progress of a run from a list. If the run is too slow, moves its
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -122,42 +122,13 @@
   issue(pool, std::move(order), out);
 }
 
-// Removes a settled run: its resources are free and its task may run elsewhere.
-void end_run(pool& pool,
-             leased_upstream& upstream,
-             const std::string& name,
-             run_end how,
-             pool_output& out) {
-  auto found = upstream.runs.find(name);
-  leased_run run = std::move(found->second);
-  upstream.runs.erase(found);
-  release_resources(upstream, run.need);
-  pool.placed.erase(name);
-  pool.placement_due = true;
-  task_run_settled(pool, run, upstream.info.id(), how, out);
-}
-
-void end_all_runs(pool& pool,
-                  leased_upstream& upstream,
-                  std::string_view reason,
-                  pool_output& out) {
-  if (upstream.runs.empty())
-    return;
-  out.events.push_back(
-      {"runs_lost",
-       fmt::format("upstream={} runs={} reason={}", upstream.info.id(),
-                   upstream.runs.size(), reason)});
-  while (!upstream.runs.empty()) {
-    std::string name = upstream.runs.begin()->first;
-    end_run(pool, upstream, name, run_end::lease_expired, out);
-  }
-}
-
-// Another incarnation has replied in the upstream's place, so that this one has
-// ended.
-void remove_upstream(pool& pool, const std::string& id, pool_output& out) {
+// Another upstream has replied at its address, so that this one has ended.
+void remove_upstream(pool& pool,
+                     const std::string& id,
+                     unix_ms now,
+                     pool_output& out) {
   auto found = pool.upstreams.find(id);
-  end_all_runs(pool, found->second, "other_incarnation", out);
+  lose_all_runs(pool, found->second, loss_evidence::replaced, now, out);
   pool.upstreams.erase(found);
   ++pool.upstreams_version;
 }
@@ -190,11 +161,14 @@
   out.events.push_back(
       {"upstream_reborn", fmt::format("upstream={} runs={}", upstream.info.id(),
                                       upstream.runs.size())});
+  uint64_t past = upstream.info.incarnation();
   upstream.info.set_incarnation(incarnation);
   upstream.last_end_number = 0;
   upstream.clock_offset_ms.reset();
   upstream.on_probation = false;
   for (auto& [name, run] : upstream.runs) {
+    if (run.past_incarnation == 0)
+      run.past_incarnation = past;
     if (run.unanswered_starts == 0)
       continue;
     run.state = run_state::stopping;
@@ -360,6 +334,8 @@
   auto known = upstream.runs.find(listed.task);
   if (known != upstream.runs.end()) {
     leased_run& run = known->second;
+    if (run.attempt == listed.attempt)
+      run.past_incarnation = 0;
     if (run.attempt == listed.attempt && run.state == run_state::starting) {
       run.state = run_state::running;
       run.absence_valid_from_ms = now;
@@ -391,6 +367,7 @@
                      leased_upstream& upstream,
                      const order_reply& reply,
                      unix_ms renewal_sent_ms,
+                     unix_ms now,
                      pool_output& out) {
   std::set<std::string> listed;
   for (const listed_run& run : reply.running)
@@ -400,8 +377,12 @@
     if (run.absence_valid_from_ms < renewal_sent_ms && !listed.contains(name))
       absent.push_back(name);
   }
-  for (const std::string& name : absent)
-    end_run(pool, upstream, name, run_end::lease_expired, out);
+  for (const std::string& name : absent) {
+    if (upstream.runs.at(name).past_incarnation != 0)
+      lose_run(pool, upstream, name, loss_evidence::restarted, now, out);
+    else
+      end_run(pool, upstream, name, run_end::lease_expired, out);
+  }
 }
 
 void renewal_replied(pool& pool,
@@ -434,7 +415,7 @@
     process_listed_end(pool, upstream, end, now, out);
   for (const listed_run& run : reply.running)
     process_listed_run(pool, upstream, run, now, out);
-  end_absent_runs(pool, upstream, reply, sent_ms, out);
+  end_absent_runs(pool, upstream, reply, sent_ms, now, out);
   pool.placement_due = pool.placement_due || !upstream.listed || !was_reachable;
   upstream.listed = true;
   // A new incarnation is listed again at once, so that runs that ended with the
@@ -468,6 +449,20 @@
 
 }  // namespace
 
+void end_run(pool& pool,
+             leased_upstream& upstream,
+             const std::string& name,
+             run_end how,
+             pool_output& out) {
+  auto found = upstream.runs.find(name);
+  leased_run run = std::move(found->second);
+  upstream.runs.erase(found);
+  release_resources(upstream, run.need);
+  pool.placed.erase(name);
+  pool.placement_due = true;
+  task_run_settled(pool, run, upstream.info.id(), how, out);
+}
+
 void start_run(pool& pool,
                leased_upstream& upstream,
                pool_job& job,
@@ -522,13 +517,14 @@
     return;
   }
   if (reply.outcome == order_outcome::other_incarnation) {
-    remove_upstream(pool, order.upstream, out);
+    remove_upstream(pool, order.upstream, now, out);
     return;
   }
   if (reply.clock_ms != 0)
     read_clock(upstream, reply.clock_ms, now);
   if (reply.outcome != order_outcome::unanswered)
     upstream.last_contact_ms = now;
+  upstream.connection_refused = reply.connection_refused;
   if (order.kind == order_kind::start)
     start_replied(pool, upstream, order, reply.outcome, now, out);
   else if (order.kind == order_kind::stop)
@@ -615,7 +611,7 @@
   std::vector<std::string> expired;
   for (auto& [id, upstream] : pool.upstreams) {
     if (!upstream.reachable && now >= upstream.leases_expire_ms)
-      end_all_runs(pool, upstream, "lease_over", out);
+      lose_all_runs(pool, upstream, evidence_of_silence(upstream), now, out);
     bool is_leaving = upstream.info.state() == wire::UPSTREAM_LEAVING;
     bool idle = !upstream.reachable && upstream.runs.empty();
     if (idle &&
