--- a/cyclamenwood/testing/fake_upstream.cc
+++ b/cyclamenwood/testing/fake_upstream.cc
@@ -42,6 +42,10 @@
 }
 
 void fake_upstream::advance(unix_ms now) {
+  if (restart_at_ms_ != 0 && now >= restart_at_ms_) {
+    restart_at_ms_ = 0;
+    restart(now);
+  }
   std::vector<std::pair<std::string, run_end>> over;
   for (const auto& [task, run] : runs_) {
     if (run.ends_ms <= now)
@@ -80,6 +84,12 @@
     ++rejected_no_room_;
     return order_outcome::no_room;
   }
+  if (crashes_on(order.task)) {
+    crashed_by_.push_back(order.task);
+    restart_at_ms_ = now + down_ms;
+    runs_.clear();
+    return order_outcome::unanswered;
+  }
   int64_t run_ms = run_ms_of ? run_ms_of(order.task) : run_ms_;
   runs_[order.task] = {order.attempt, cpu, now, now + (failing_ ? 1 : run_ms)};
   ++starts_;
@@ -89,6 +99,9 @@
 order_reply fake_upstream::carry_out(const run_order& order, unix_ms now) {
   advance(now);
   order_reply reply;
+  reply.connection_refused = restart_at_ms_ != 0;
+  if (reply.connection_refused)
+    return reply;
   reply.clock_ms = clock(now);
   reply.incarnation = info_.incarnation();
   if (order.token < highest_token_) {
@@ -102,6 +115,8 @@
   reply.outcome = order_outcome::accepted;
   if (order.kind == order_kind::start) {
     reply.outcome = start(order, now);
+    if (restart_at_ms_ != 0)
+      return {};
   } else if (order.kind == order_kind::stop) {
     highest_ended_attempts_[order.task] =
         std::max(highest_ended_attempts_[order.task], order.attempt);
--- a/cyclamenwood/testing/fake_upstream.h
+++ b/cyclamenwood/testing/fake_upstream.h
@@ -40,9 +40,17 @@
   // Returns the time that a run of the task takes; `run_ms` if it is not set.
   std::function<int64_t(const std::string& task)> run_ms_of;
 
+  // Returns whether a start of the task crashes the upstream.
+  std::function<bool(const std::string& task)> crashes_on =
+      [](const std::string&) { return false; };
+
+  // How long the upstream is down after a crash; it then restarts.
+  int64_t down_ms = 3000;
+
   order_reply carry_out(const run_order& order, unix_ms now);
 
-  // Ends the runs that are complete at this time, or whose lease has expired.
+  // Ends the runs that are complete at this time, or whose lease has expired,
+  // and restarts the upstream if it is due.
   void advance(unix_ms now);
 
   // Replaces the process by a new incarnation under the same id.
@@ -52,6 +60,8 @@
   const std::map<std::string, fake_run>& runs() const { return runs_; }
   uint32_t used_cpu_milli() const;
   uint64_t starts() const { return starts_; }
+  // The tasks whose start crashed it, in order.
+  const std::vector<std::string>& crashed_by() const { return crashed_by_; }
   uint64_t rejected_no_room() const { return rejected_no_room_; }
   void set_run_ms(int64_t run_ms) { run_ms_ = run_ms; }
   // If set, every run that starts fails at once.
@@ -75,6 +85,9 @@
   uint64_t next_end_ = 1;
   uint64_t starts_ = 0;
   uint64_t rejected_no_room_ = 0;
+  std::vector<std::string> crashed_by_;
+  // 0: it is running.
+  unix_ms restart_at_ms_ = 0;
 };
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -15,6 +15,8 @@
 constexpr int64_t RESEND_MS = 1'300;
 constexpr uint32_t TASK_CPU_MILLI = 1000;
 constexpr uint32_t UPSTREAM_CPU_MILLI = 2000;
+// A task that has crashed three upstreams may be started twice more.
+constexpr int MAX_CRASHES_OF_A_TASK = 5;
 constexpr uint64_t INCARNATION_STEP = 1'000'000;
 
 result<route_table> read_one_route(std::string_view /*content*/) {
@@ -34,7 +36,8 @@
 
 }  // namespace
 
-host_model::host_model(uint64_t seed) : random_(seed) {
+host_model::host_model(uint64_t seed, const host_model_options& options)
+    : random_(seed), options_(options) {
   if (seed % 2 == 0)
     owner_policy_ = {.min_upstreams_to_split = 1, .min_upstreams_per_shard = 1};
   for (const char* zone : {"kranj", "vic"}) {
@@ -50,6 +53,14 @@
                               UPSTREAM_CPU_MILLI, between(0, 1'000'000),
                               between(30, 500));
   }
+  if (options_.crashing_jobs <= 0)
+    return;
+  for (fake_upstream& upstream : upstreams_) {
+    upstream.crashes_on = [this](const std::string& task) {
+      return crashing_tasks_.contains(task);
+    };
+    upstream.down_ms = between(300, 1500);
+  }
 }
 
 bool host_model::chance(double share) {
@@ -161,6 +172,10 @@
     added.zone = chance(0.5) ? "kranj" : "vic";
     added.tasks = static_cast<uint32_t>(between(1, 5));
     added.deadline_ms = now_ + between(1500, 6000);
+    added.crashes_upstreams =
+        options_.crashing_jobs > 0 && chance(options_.crashing_jobs);
+    if (added.crashes_upstreams)
+      crashing_tasks_.insert(added.id + ".0.0.0");
     submit(added);
   }
   for (caller_job& job : jobs_) {
@@ -381,8 +396,24 @@
   }
 }
 
+// A task that crashes upstreams is not started again and again, whichever hosts
+// start it.
+void host_model::check_crashes() {
+  std::map<std::string, int> crashes;
+  counts_.upstream_crashes = 0;
+  for (const fake_upstream& upstream : upstreams_) {
+    for (const std::string& task : upstream.crashed_by()) {
+      ++counts_.upstream_crashes;
+      if (++crashes[task] > MAX_CRASHES_OF_A_TASK)
+        fail(fmt::format("task {} has crashed {} upstreams", task,
+                         crashes[task]));
+    }
+  }
+}
+
 void host_model::check() {
   check_capacity();
+  check_crashes();
   std::map<std::string, int> running;
   for (fake_upstream& upstream : upstreams_) {
     upstream.advance(now_);
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -34,11 +34,18 @@
   uint64_t late_orders = 0;
   uint64_t crashes = 0;
   uint64_t suspensions = 0;
+  // Upstreams that a task has crashed.
+  uint64_t upstream_crashes = 0;
+};
+
+struct host_model_options {
+  // The share of jobs whose first task crashes each upstream that starts it.
+  double crashing_jobs = 0;
 };
 
 class host_model {
  public:
-  explicit host_model(uint64_t seed);
+  explicit host_model(uint64_t seed, const host_model_options& options = {});
 
   // Runs with faults for `faulty_ms` of simulated time, then without for
   // `calm_ms`, and checks the invariants after every step. Stops at the first
@@ -64,6 +71,7 @@
     std::string id;
     std::string zone;
     uint32_t tasks = 1;
+    bool crashes_upstreams = false;
     unix_ms deadline_ms = 0;
     // The host that handles the call; empty: none.
     std::string at;
@@ -111,10 +119,12 @@
   void check();
   void check_capacity(const pool& pool);
   void check_capacity();
+  void check_crashes();
   void fail(const std::string& what);
   fake_upstream* find_upstream(const std::string& id);
 
   std::mt19937_64 random_;
+  host_model_options options_;
   // Even seeds split each zone into two shards, one for each entry host.
   owner_policy_options owner_policy_;
   unix_ms now_ = 1'000'000;
@@ -125,6 +135,8 @@
   std::vector<delayed_message> messages_;
   std::vector<delayed_order> orders_;
   std::vector<caller_job> jobs_;
+  // Names of tasks that crash upstreams.
+  std::set<std::string> crashing_tasks_;
   control_log control_;
   entry_host_map entry_hosts_;
   unix_ms grants_at_ms_ = 0;
--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -17,6 +17,16 @@
   RC_ASSERT(model.open_jobs() == 0U);
 }
 
+RC_GTEST_PROP(host_model,
+              a_task_that_crashes_upstreams_is_not_started_without_end,
+              (uint64_t seed)) {
+  host_model model(seed, {.crashing_jobs = 0.1});
+  model.run(8'000, 8'000);
+  if (model.violation())
+    RC_FAIL(*model.violation());
+  RC_ASSERT(model.open_jobs() == 0U);
+}
+
 // Checks that the random runs reach the faults and the reactions to them.
 TEST(host_model, reaches_every_kind_of_event) {
   host_model_counts sum;
