A task that was lost with two crashed upstreams is not started again

Callers saw late answers and 504 for jobs that could run, while the same few tasks crashed up to 25 of 48 upstreams at a time.

Cause: an owner counted only the ends that upstreams list as failed. A run that was lost with its upstream left no trace, so that its task was queued again and crashed the next one, until its caller's deadline passed.

A pool now records a loss for each run that went down with its upstream: which task, which incarnation, and whether that incarnation is known to have ended. A task with two crashes, or three losses of any kind, is reported as RUN_CRASHED and its caller is told that it failed. Losses with upstreams that had announced their end don't count. A start that met a refused connection is no longer sent again to the same address: the process that restarts there would get the task that ended the one before.

pool_losses.a_task_that_crashes_every_upstream_is_given_up failed before (29 crashes in 30 s) and passes.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -684,6 +684,9 @@
     } else if (result.outcome() == wire::RUN_FAILED) {
       end_job(intake, result.submission(), caller_outcome::failed,
               "attempts_used_up", now, out);
+    } else if (result.outcome() == wire::RUN_CRASHED) {
+      end_job(intake, result.submission(), caller_outcome::failed,
+              "upstreams_crashed", now, out);
     } else {
       end_job(intake, result.submission(),
               job.started || job.pools.size() > 1 ? caller_outcome::given_up
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -69,7 +69,8 @@
 
 enum class caller_outcome {
   completed,
-  // A task has used up the attempts that its route allows.
+  // A task has used up the attempts that its route allows, or was lost with
+  // several upstreams that crashed.
   failed,
   // No task has run, and none will.
   refused,
--- /dev/null
+++ b/cyclamenwood/loss_history.h
@@ -0,0 +1,75 @@
+// Which tasks were lost together with their upstreams.
+//
+// A task that crashes its upstream would, if it were started again each time,
+// crash one upstream after the other. A loss is therefore a fact about the
+// task, which is kept wherever the task may be started next: it names the task
+// and the incarnation of the upstream, so that the same loss is counted once,
+// however often and from however many hosts it is reported.
+//
+//   loss_history history;
+//   record_loss(history, loss, now);
+//   if (is_given_up(history, "5c0e7a21d94b36f8.0.1.17"))
+//     ...
+//
+// Times are in ms; `now` is the current time.
+#ifndef CYCLAMENWOOD_LOSS_HISTORY_H_
+#define CYCLAMENWOOD_LOSS_HISTORY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "cyclamenwood/types.h"
+#include "cyclamenwood/wire.pb.h"
+
+namespace cyclamenwood {
+
+// A task is given up after this many crashes: a second one, of an upstream that
+// had nothing to do with the first, is no coincidence.
+constexpr size_t MAX_CRASHES = 2;
+// A task is given up after this many losses of any kind: of an upstream that
+// fell silent it is not known whether it crashed.
+constexpr size_t MAX_LOSSES = 3;
+// Callers submit a job again within seconds.
+constexpr int64_t LOSS_RETENTION_MS = 30'000;
+// The oldest losses are dropped above this number.
+constexpr size_t MAX_RETAINED_LOSSES = 4096;
+
+// The upstreams that a task was lost with: (id, incarnation), and whether that
+// incarnation is known to have crashed.
+using lost_upstreams = std::map<std::pair<std::string, uint64_t>, bool>;
+
+struct retained_loss {
+  wire::run_loss loss;
+  unix_ms expires_ms = 0;
+};
+
+struct loss_history {
+  // By name of the task. Invariant: contains what `recent` contains.
+  std::map<std::string, lost_upstreams, std::less<>> tasks;
+  // By their number, in the order in which they were recorded.
+  std::map<uint64_t, retained_loss> recent;
+  uint64_t next_number = 1;
+};
+
+// Adds a loss. Returns whether it was new, or newly known to be a crash.
+bool record_loss(loss_history& history,
+                 const wire::run_loss& loss,
+                 unix_ms now);
+
+// Whether the task may have crashed an upstream: it was lost with one that
+// crashed, or with several that fell silent.
+bool is_suspect(const loss_history& history, std::string_view task);
+
+// Whether the task is not to be started again.
+bool is_given_up(const loss_history& history, std::string_view task);
+
+// Forgets the losses that have expired.
+void expire_losses(loss_history& history, unix_ms now);
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_LOSS_HISTORY_H_
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -20,6 +20,9 @@
 // stop was acknowledged and a later list lacks it, or every lease that was ever
 // requested for its upstream has expired.
 //
+// A task that was lost with several upstreams (loss_history.h) is not started
+// again, since it may have crashed them.
+//
 // A new owner first reads the lists of all upstreams. It adopts the runs that
 // it finds there when an entry host requests them, and stops the others after
 // ADOPTION_WINDOW_MS.
@@ -36,6 +39,7 @@
 #include <vector>
 
 #include "cyclamenwood/health.h"
+#include "cyclamenwood/loss_history.h"
 #include "cyclamenwood/order.h"
 #include "cyclamenwood/types.h"
 #include "cyclamenwood/wire.pb.h"
@@ -228,6 +232,8 @@
   // Ends that a new owner found, with the times when it found them, and that no
   // entry host has requested so far.
   std::map<std::string, std::pair<run_end, unix_ms>> unclaimed_ends;
+  // The runs that were lost with upstreams of this pool.
+  loss_history losses;
   // Until this time runs that were found may be adopted.
   unix_ms adoptable_until_ms = 0;
   // A change since the last placement may allow a queued task to start.
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -37,7 +37,7 @@
                   pool_output& out);
 
 // Updates the task after its run was settled: the task is reported or queued
-// again.
+// again, unless it was lost too often.
 void task_run_settled(pool& pool,
                       const leased_run& run,
                       const std::string& upstream,
@@ -89,6 +89,9 @@
 
 std::string_view to_string(loss_evidence evidence);
 
+// Whether the upstream has acknowledged that it stopped the run.
+bool is_stopped(const leased_run& run);
+
 // The evidence for an upstream whose leases have expired.
 loss_evidence evidence_of_silence(const leased_upstream& upstream);
 
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -179,6 +179,10 @@
     settle_task(pool, *job, run.task, wire::RUN_FAILED, out);
     return;
   }
+  if (is_given_up(pool.losses, task_name(job->request, run.task))) {
+    settle_task(pool, *job, run.task, wire::RUN_CRASHED, out);
+    return;
+  }
   enqueue_task(pool, *job, run.task);
 }
 
--- a/cyclamenwood/pool_losses.cc
+++ b/cyclamenwood/pool_losses.cc
@@ -3,7 +3,8 @@
 // An upstream that crashes says nothing, and its owner can't tell a crash from
 // a partition by silence alone. The evidence grows with what is seen
 // afterwards: its host refuses connections, or something else answers in its
-// place.
+// place. An upstream that has crashed may have been crashed by any of the tasks
+// that ran there.
 #include <fmt/format.h>
 
 #include "cyclamenwood/pool_internal.h"
@@ -11,27 +12,56 @@
 namespace cyclamenwood {
 namespace {
 
+// The incarnation of the upstream that the run was started on.
+uint64_t incarnation_of(const leased_upstream& upstream,
+                        const leased_run& run) {
+  return run.past_incarnation != 0 ? run.past_incarnation
+                                   : upstream.info.incarnation();
+}
+
+// Whether the run may have been in progress when its upstream went away, and
+// that was not planned.
+bool counts_as_loss(const leased_run& run, loss_evidence evidence) {
+  return evidence != loss_evidence::left &&
+         (run.past_incarnation != 0 || !is_stopped(run));
+}
+
+wire::run_loss describe_loss(const leased_upstream& upstream,
+                             const std::string& name,
+                             const leased_run& run,
+                             loss_evidence evidence) {
+  wire::run_loss loss;
+  loss.set_task(name);
+  loss.set_upstream(upstream.info.id());
+  loss.set_incarnation(incarnation_of(upstream, run));
+  loss.set_crashed(evidence != loss_evidence::silent);
+  return loss;
+}
+
 void log_loss(const leased_upstream& upstream,
               const std::string& name,
               const leased_run& run,
               loss_evidence evidence,
               unix_ms now,
               pool_output& out) {
-  uint64_t incarnation = run.past_incarnation != 0
-                             ? run.past_incarnation
-                             : upstream.info.incarnation();
   out.events.push_back(
       {"run_lost",
        fmt::format("task={} attempt={} upstream={} incarnation={} evidence={} "
                    "stopping={} elapsed_ms={} others={}",
-                   name, run.attempt, upstream.info.id(), incarnation,
-                   to_string(evidence), run.state == run_state::stopping,
+                   name, run.attempt, upstream.info.id(),
+                   incarnation_of(upstream, run), to_string(evidence),
+                   run.state == run_state::stopping,
                    run.started_ms == 0 ? 0 : now - run.started_ms,
                    upstream.runs.size() - 1)});
 }
 
 }  // namespace
 
+bool is_stopped(const leased_run& run) {
+  return run.state == run_state::stopping &&
+         run.absence_valid_from_ms != INT64_MAX;
+}
+
 std::string_view to_string(loss_evidence evidence) {
   switch (evidence) {
     case loss_evidence::left:
@@ -61,7 +91,10 @@
               loss_evidence evidence,
               unix_ms now,
               pool_output& out) {
-  log_loss(upstream, name, upstream.runs.at(name), evidence, now, out);
+  const leased_run& run = upstream.runs.at(name);
+  log_loss(upstream, name, run, evidence, now, out);
+  if (counts_as_loss(run, evidence))
+    record_loss(pool.losses, describe_loss(upstream, name, run, evidence), now);
   end_run(pool, upstream, name, run_end::lease_expired, out);
 }
 
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -162,12 +162,15 @@
       {"upstream_reborn", fmt::format("upstream={} runs={}", upstream.info.id(),
                                       upstream.runs.size())});
   uint64_t past = upstream.info.incarnation();
+  bool has_left = upstream.info.state() == wire::UPSTREAM_LEAVING;
   upstream.info.set_incarnation(incarnation);
   upstream.last_end_number = 0;
   upstream.clock_offset_ms.reset();
   upstream.on_probation = false;
   for (auto& [name, run] : upstream.runs) {
-    if (run.past_incarnation == 0)
+    // A stop may have been acknowledged by the new incarnation already.
+    bool may_have_run = !is_stopped(run) || run.unanswered_starts > 0;
+    if (run.past_incarnation == 0 && !has_left && may_have_run)
       run.past_incarnation = past;
     if (run.unanswered_starts == 0)
       continue;
@@ -193,7 +196,9 @@
                       unix_ms now,
                       pool_output& out) {
   ++run.unanswered_starts;
-  if (run.unanswered_starts < MAX_UNANSWERED_STARTS && upstream.reachable) {
+  // If no process listens there, the task may be the reason.
+  if (run.unanswered_starts < MAX_UNANSWERED_STARTS && upstream.reachable &&
+      !upstream.connection_refused) {
     run.resend_ms = now;
     return;
   }
@@ -608,6 +613,7 @@
   pool.placement_due = true;
   demote_late_jobs(pool, now);
   expire_released(pool, now);
+  expire_losses(pool.losses, now);
   std::vector<std::string> expired;
   for (auto& [id, upstream] : pool.upstreams) {
     if (!upstream.reachable && now >= upstream.leases_expire_ms)
--- a/cyclamenwood/testing/pool_losses_test.cc
+++ b/cyclamenwood/testing/pool_losses_test.cc
@@ -40,6 +40,57 @@
   run_until(now + 30'000);
   EXPECT_EQ(crashes(), 2U);
   ASSERT_EQ(reported.size(), 1U);
+  EXPECT_EQ(reported[0].second.outcome(), wire::RUN_CRASHED);
+  EXPECT_TRUE(reported[0].second.started());
+}
+
+TEST_F(pool_losses, a_task_lost_with_silent_upstreams_is_started_a_third_time) {
+  add_fragile_upstreams(4, "");
+  own(1);
+  run_until(now + 100);
+  for (fake_upstream& upstream : upstreams)
+    upstream.set_run_ms(60'000);
+  ask(patient_request("j", 1));
+  for (int lost = 0; lost < 3; ++lost) {
+    EXPECT_EQ(reported.size(), 0U);
+    run_until(now + 20);
+    unreachable.insert(state.placed.at("j.0.0.0"));
+    run_until(now + 1'300);
+  }
+  EXPECT_EQ(count(wire::RUN_CRASHED), 1U);
+}
+
+// Upstreams that had announced their end are no evidence against a task.
+TEST_F(pool_losses, a_task_lost_with_leaving_upstreams_is_not_given_up) {
+  add_fragile_upstreams(4, "");
+  own(1);
+  run_until(now + 100);
+  for (fake_upstream& upstream : upstreams)
+    upstream.set_run_ms(60'000);
+  ask(patient_request("j", 1));
+  for (int lost = 0; lost < 3; ++lost) {
+    run_until(now + 20);
+    std::string id = state.placed.at("j.0.0.0");
+    wire::upstream leaving = find(id)->info();
+    leaving.set_state(wire::UPSTREAM_LEAVING);
+    update_upstream(state, leaving, now, out);
+    unreachable.insert(id);
+    run_until(now + 1'300);
+  }
+  EXPECT_EQ(count(wire::RUN_CRASHED), 0U);
+  EXPECT_TRUE(state.placed.contains("j.0.0.0"));
+}
+
+TEST_F(pool_losses, a_restart_under_the_same_id_counts_as_a_crash) {
+  add_fragile_upstreams(8, "j.0.0.0");
+  for (fake_upstream& upstream : upstreams)
+    upstream.down_ms = 20;
+  own(1);
+  run_until(now + 100);
+  ask(patient_request("j", 1));
+  run_until(now + 10'000);
+  EXPECT_EQ(crashes(), 2U);
+  EXPECT_EQ(count(wire::RUN_CRASHED), 1U);
 }
 
 }  // namespace
