Entry hosts and owners share which tasks were lost with their upstreams

Callers saw a task crash up to eight upstreams where its owner or its entry host had changed meanwhile: what one pool knows is gone with its owner, and a job that is sent again is a new one to the host that gets it.

A loss names the task and the upstream's incarnation, so that the set of losses can be merged without counting one twice. Owners pass what they learn to their entry host, which answers hellos with the losses that the other host lacks; that one passes them on in the same way, and adds them to each request for the task. A job with a task that is given up is answered at once wherever it is sent again. A loss is remembered for 30 s, 4,096 at most; while there is none the messages are as before. Weighed: the control log (a sync for each crash, and gone while the replicas are), and a lookup before each start (a round trip for every job).

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -60,7 +60,13 @@
     out.effects.push_back(std::move(note));
 }
 
-void apply_output(pool& source, pool_output done, host_outbox& out) {
+void apply_output(host_entry& state,
+                  pool& source,
+                  pool_output done,
+                  unix_ms now,
+                  host_outbox& out) {
+  for (const wire::run_loss& loss : done.losses)
+    record_loss(state.callers.losses, loss, now);
   for (run_order& order : done.orders)
     out.effects.push_back(std::move(order));
   for (auto& [host, results] : done.results)
@@ -162,7 +168,7 @@
       update_upstream(pool, upstream, now, done);
   }
   acquire_ownership(pool, grant.token(), now, done);
-  apply_output(pool, std::move(done), out);
+  apply_output(state, pool, std::move(done), now, out);
 }
 
 void update_ownership(host_entry& state, unix_ms now, host_outbox& out) {
@@ -273,7 +279,7 @@
     // The pool may have forgotten that the upstream has left; `known` has not.
     pool_output learned;
     update_upstream(pool, known, now, learned);
-    apply_output(pool, std::move(learned), out);
+    apply_output(state, pool, std::move(learned), now, out);
   }
 }
 
@@ -310,10 +316,13 @@
   pool_output done;
   update_peer(*requested, envelope.from(), envelope.incarnation(),
               envelope.pool_hello().echo_ms(), now, done);
-  apply_output(*requested, std::move(done), out);
+  apply_output(state, *requested, std::move(done), now, out);
   wire::envelope reply;
-  *reply.mutable_pool_state() =
+  wire::pool_state& described = *reply.mutable_pool_state();
+  described =
       answer_hello(*requested, envelope.from(), envelope.pool_hello(), now);
+  add_losses_after(state.callers.losses, envelope.pool_hello().have_losses(),
+                   now, described);
   send(state, envelope.from(), std::move(reply), out);
 }
 
@@ -321,15 +330,17 @@
                          unix_ms now,
                          const wire::envelope& envelope,
                          host_outbox& out) {
-  const wire::run_request& request = envelope.run_request();
+  wire::run_request request = envelope.run_request();
   pool* requested = find_owned(state, request.pool());
   if (requested == nullptr)
     return;
+  // This host may know of losses that the sender has not heard of yet.
+  add_losses(state.callers.losses, now, request);
   pool_output done;
   if (update_peer(*requested, envelope.from(), envelope.incarnation(),
                   request.echo_ms(), now, done))
     request_runs(*requested, envelope.from(), request, now, done);
-  apply_output(*requested, std::move(done), out);
+  apply_output(state, *requested, std::move(done), now, out);
 }
 
 void receive_run_release(host_entry& state,
@@ -341,7 +352,7 @@
       continue;
     pool_output done;
     release_runs(pool, submission, now, done);
-    apply_output(pool, std::move(done), out);
+    apply_output(state, pool, std::move(done), now, out);
   }
 }
 
@@ -413,7 +424,7 @@
   for (auto& [name, pool] : state.pools) {
     pool_output ticked;
     tick_pool(pool, event.now, ticked);
-    apply_output(pool, std::move(ticked), out);
+    apply_output(state, pool, std::move(ticked), event.now, out);
   }
   intake_output taken;
   tick_intake(state.callers, event.now, taken);
@@ -446,7 +457,7 @@
       continue;
     pool_output replied;
     order_replied(pool, event.order, event.reply, event.now, replied);
-    apply_output(pool, std::move(replied), out);
+    apply_output(state, pool, std::move(replied), event.now, out);
   }
 }
 
@@ -495,7 +506,7 @@
     for (auto& [name, pool] : state.pools) {
       pool_output placed;
       place_tasks(pool, now, placed);
-      apply_output(pool, std::move(placed), out);
+      apply_output(state, pool, std::move(placed), now, out);
     }
     send_results(state, now, out);
   } while (!out.to_self.empty());
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -284,6 +284,7 @@
 void send_request(intake& intake,
                   intake_job& job,
                   wire::run_request request,
+                  unix_ms now,
                   intake_output& out) {
   const std::string& name = request.pool();
   const wire::owner_grant& grant = intake.grants.at(name);
@@ -293,6 +294,7 @@
       *request.mutable_former_upstreams() = {pool->former_upstreams.begin(),
                                              pool->former_upstreams.end()};
   }
+  add_losses(intake.losses, now, request);
   ++intake.pools[name].requests_sent;
   job.pools[name] = grant.token();
   wire::envelope envelope;
@@ -324,7 +326,7 @@
       request.add_tasks(task);
     }
     if (!request.tasks().empty())
-      send_request(intake, job, std::move(request), out);
+      send_request(intake, job, std::move(request), now, out);
   }
 }
 
@@ -354,7 +356,7 @@
   // from then on, even if a result reports that no task was started: that
   // result may be older than this request.
   job.started = job.started || request.resumed();
-  send_request(intake, job, std::move(request), out);
+  send_request(intake, job, std::move(request), now, out);
 }
 
 // Requests again all tasks that are assigned to a pool and have not ended.
@@ -436,6 +438,10 @@
     intake.jobs.at(known->second).exchanges.push_back(call.exchange);
     return;
   }
+  if (has_given_up_task(intake.losses, target.id)) {
+    refuse(out, call, caller_outcome::failed, "upstreams_crashed");
+    return;
+  }
   bool may_exceed_drain =
       now + DRAIN_ALLOWANCE * critical_path_ms(job) + DRAIN_MARGIN_MS >
       intake.answer_by_ms;
@@ -602,6 +608,9 @@
     pool.upstreams_version = state.upstreams_version();
     pool.upstreams = {state.upstreams().begin(), state.upstreams().end()};
   }
+  for (const wire::run_loss& loss : state.losses())
+    record_loss(intake.losses, loss, now);
+  pool.have_losses = std::max(pool.have_losses, state.losses_position());
   read_rooms(pool, state.services());
   if (is_new_owner || lost)
     resend_missing(intake, state.pool(), now, out);
@@ -615,6 +624,7 @@
     hello.set_echo_ms(pool->clock_ms);
     hello.set_requests(pool->requests_sent);
     hello.set_have_upstreams(pool->upstreams_version);
+    hello.set_have_losses(pool->have_losses);
   }
   return hello;
 }
@@ -719,6 +729,7 @@
 }
 
 void tick_intake(intake& intake, unix_ms now, intake_output& out) {
+  expire_losses(intake.losses, now);
   std::vector<uint64_t> expired;
   for (auto& [submission, job] : intake.jobs) {
     if (now >= std::min(job.deadline_ms, intake.answer_by_ms))
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "cyclamenwood/error.h"
+#include "cyclamenwood/loss_history.h"
 #include "cyclamenwood/pool_choice.h"
 #include "cyclamenwood/route_table.h"
 #include "cyclamenwood/types.h"
@@ -151,6 +152,8 @@
   uint64_t results_received = 0;
   // Time of the first message from this owner.
   unix_ms first_contact_ms = 0;
+  // The position up to which the owner's losses were received.
+  uint64_t have_losses = 0;
   // The owner's upstreams, as of `upstreams_version` of its list, and the
   // upstreams of previous owners whose runs may still exist.
   uint64_t upstreams_version = 0;
@@ -176,6 +179,9 @@
   uint64_t have_token = 0;
   std::map<std::string, pool_view> pools;
   std::map<uint64_t, intake_job> jobs;
+  // Runs that were lost, as reported by owners; given to the owners that the
+  // tasks are sent to next.
+  loss_history losses;
   // Submission numbers by job id.
   std::map<std::string, uint64_t> by_id;
 };
--- a/cyclamenwood/loss_history.cc
+++ b/cyclamenwood/loss_history.cc
@@ -3,14 +3,22 @@
 // and from several hosts.
 #include "cyclamenwood/loss_history.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
+#include "cyclamenwood/order.h"
+
 namespace cyclamenwood {
 namespace {
 
 size_t count_crashes(const lost_upstreams& lost) {
   return std::count_if(lost.begin(), lost.end(),
-                       [](const auto& item) { return item.second; });
+                       [](const auto& item) { return item.second.crashed; });
+}
+
+bool is_given_up(const lost_upstreams& lost) {
+  return lost.size() >= MAX_LOSSES || count_crashes(lost) >= MAX_CRASHES;
 }
 
 const lost_upstreams* find_losses(const loss_history& history,
@@ -19,19 +27,38 @@
   return found == history.tasks.end() ? nullptr : &found->second;
 }
 
+const known_loss* find_loss(const loss_history& history,
+                            std::string_view task,
+                            const upstream_key& upstream) {
+  const lost_upstreams* lost = find_losses(history, task);
+  if (lost == nullptr)
+    return nullptr;
+  auto found = lost->find(upstream);
+  return found == lost->end() ? nullptr : &found->second;
+}
+
 void forget_oldest(loss_history& history) {
-  auto oldest = history.recent.begin();
-  const wire::run_loss& loss = oldest->second.loss;
-  auto found = history.tasks.find(loss.task());
+  const auto& [task, upstream] = history.recent.begin()->second;
+  auto found = history.tasks.find(task);
   if (found != history.tasks.end()) {
-    auto known = found->second.find({loss.upstream(), loss.incarnation()});
-    // A later record of the same loss may say that it was a crash.
-    if (known != found->second.end() && known->second == loss.crashed())
-      found->second.erase(known);
+    found->second.erase(upstream);
     if (found->second.empty())
       history.tasks.erase(found);
   }
-  history.recent.erase(oldest);
+  history.recent.erase(history.recent.begin());
+}
+
+wire::run_loss describe_loss(const std::string& task,
+                             const upstream_key& upstream,
+                             const known_loss& known,
+                             unix_ms now) {
+  wire::run_loss loss;
+  loss.set_task(task);
+  loss.set_upstream(upstream.first);
+  loss.set_incarnation(upstream.second);
+  loss.set_crashed(known.crashed);
+  loss.set_remaining_ms(known.expires_ms - now);
+  return loss;
 }
 
 }  // namespace
@@ -39,13 +66,17 @@
 bool record_loss(loss_history& history,
                  const wire::run_loss& loss,
                  unix_ms now) {
-  auto [known, added] = history.tasks[loss.task()].try_emplace(
-      {loss.upstream(), loss.incarnation()}, loss.crashed());
-  bool news = added || (loss.crashed() && !known->second);
-  if (!news)
+  if (loss.remaining_ms() <= 0)
+    return false;
+  upstream_key upstream{loss.upstream(), loss.incarnation()};
+  known_loss& known = history.tasks[loss.task()][upstream];
+  bool is_new = known.expires_ms == 0;
+  if (!is_new && (known.crashed || !loss.crashed()))
     return false;
-  known->second = loss.crashed();
-  history.recent[history.next_number++] = {loss, now + LOSS_RETENTION_MS};
+  known.crashed = loss.crashed();
+  if (is_new)
+    known.expires_ms = now + std::min(loss.remaining_ms(), LOSS_RETENTION_MS);
+  history.recent[history.next_number++] = {loss.task(), upstream};
   if (history.recent.size() > MAX_RETAINED_LOSSES)
     forget_oldest(history);
   return true;
@@ -58,14 +89,57 @@
 
 bool is_given_up(const loss_history& history, std::string_view task) {
   const lost_upstreams* lost = find_losses(history, task);
-  return lost != nullptr &&
-         (lost->size() >= MAX_LOSSES || count_crashes(*lost) >= MAX_CRASHES);
+  return lost != nullptr && is_given_up(*lost);
+}
+
+bool has_given_up_task(const loss_history& history, std::string_view job) {
+  std::string prefix = fmt::format("{}.", job);
+  auto task = history.tasks.lower_bound(prefix);
+  while (task != history.tasks.end() && task->first.starts_with(prefix)) {
+    if (is_given_up(task->second))
+      return true;
+    ++task;
+  }
+  return false;
+}
+
+void add_losses(const loss_history& history,
+                unix_ms now,
+                wire::run_request& request) {
+  if (history.tasks.empty())
+    return;
+  for (uint32_t task : request.tasks()) {
+    std::string name = task_name(request.job(), request.step(), task);
+    const lost_upstreams* lost = find_losses(history, name);
+    if (lost == nullptr)
+      continue;
+    for (const auto& [upstream, known] : *lost)
+      *request.add_losses() = describe_loss(name, upstream, known, now);
+  }
+}
+
+void add_losses_after(const loss_history& history,
+                      uint64_t have_losses,
+                      unix_ms now,
+                      wire::pool_state& state) {
+  auto next = history.recent.upper_bound(have_losses);
+  for (size_t i = 0; i < MAX_LOSSES_PER_STATE && next != history.recent.end();
+       ++i, ++next) {
+    const auto& [task, upstream] = next->second;
+    state.set_losses_position(next->first);
+    if (const known_loss* known = find_loss(history, task, upstream))
+      *state.add_losses() = describe_loss(task, upstream, *known, now);
+  }
 }
 
 void expire_losses(loss_history& history, unix_ms now) {
-  while (!history.recent.empty() &&
-         now >= history.recent.begin()->second.expires_ms)
+  while (!history.recent.empty()) {
+    const auto& [task, upstream] = history.recent.begin()->second;
+    const known_loss* known = find_loss(history, task, upstream);
+    if (known != nullptr && known->expires_ms > now)
+      return;
     forget_oldest(history);
+  }
 }
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/loss_history.h
+++ b/cyclamenwood/loss_history.h
@@ -11,6 +11,11 @@
 //   if (is_given_up(history, "5c0e7a21d94b36f8.0.1.17"))
 //     ...
 //
+// Owners report losses to the entry hosts that exchange hellos with them, which
+// pass them on to those that exchange hellos with them. Each request for a run
+// contains the losses of its tasks. So the history of a task survives the owner
+// of its pool and the entry host of its caller.
+//
 // Times are in ms; `now` is the current time.
 #ifndef CYCLAMENWOOD_LOSS_HISTORY_H_
 #define CYCLAMENWOOD_LOSS_HISTORY_H_
@@ -37,25 +42,33 @@
 constexpr int64_t LOSS_RETENTION_MS = 30'000;
 // The oldest losses are dropped above this number.
 constexpr size_t MAX_RETAINED_LOSSES = 4096;
+// Losses in one message: less than a tenth of a link of 2 Mbit/s from each of
+// nine neighbours.
+constexpr size_t MAX_LOSSES_PER_STATE = 20;
 
-// The upstreams that a task was lost with: (id, incarnation), and whether that
-// incarnation is known to have crashed.
-using lost_upstreams = std::map<std::pair<std::string, uint64_t>, bool>;
-
-struct retained_loss {
-  wire::run_loss loss;
+struct known_loss {
+  // The upstream is known to have crashed.
+  bool crashed = false;
   unix_ms expires_ms = 0;
 };
 
+// An incarnation of an upstream: its id, and the incarnation.
+using upstream_key = std::pair<std::string, uint64_t>;
+// The upstreams that a task was lost with.
+using lost_upstreams = std::map<upstream_key, known_loss>;
+
 struct loss_history {
-  // By name of the task. Invariant: contains what `recent` contains.
+  // By name of the task.
   std::map<std::string, lost_upstreams, std::less<>> tasks;
-  // By their number, in the order in which they were recorded.
-  std::map<uint64_t, retained_loss> recent;
+  // The task and the upstream of each loss in `tasks`, by number, in the order
+  // in which they were recorded. One that became known to be a crash later is
+  // recorded again.
+  std::map<uint64_t, std::pair<std::string, upstream_key>> recent;
   uint64_t next_number = 1;
 };
 
-// Adds a loss. Returns whether it was new, or newly known to be a crash.
+// Adds a loss, to be remembered for its `remaining_ms`. Returns whether it was
+// new, or newly known to be a crash.
 bool record_loss(loss_history& history,
                  const wire::run_loss& loss,
                  unix_ms now);
@@ -67,6 +80,21 @@
 // Whether the task is not to be started again.
 bool is_given_up(const loss_history& history, std::string_view task);
 
+// Whether a task of the job is not to be started again.
+bool has_given_up_task(const loss_history& history, std::string_view job);
+
+// Adds the losses of the request's tasks to it.
+void add_losses(const loss_history& history,
+                unix_ms now,
+                wire::run_request& request);
+
+// Adds the losses after the receiver's position to the state, a limited number
+// at a time.
+void add_losses_after(const loss_history& history,
+                      uint64_t have_losses,
+                      unix_ms now,
+                      wire::pool_state& state);
+
 // Forgets the losses that have expired.
 void expire_losses(loss_history& history, unix_ms now);
 
--- a/cyclamenwood/order.cc
+++ b/cyclamenwood/order.cc
@@ -1,8 +1,14 @@
-// Names of the order outcomes for log events.
+// Names of tasks, and of the order outcomes for log events.
 #include "cyclamenwood/order.h"
 
+#include <fmt/format.h>
+
 namespace cyclamenwood {
 
+std::string task_name(std::string_view job, uint32_t step, uint32_t task) {
+  return fmt::format("{}.0.{}.{}", job, step, task);
+}
+
 std::string_view to_string(order_outcome outcome) {
   switch (outcome) {
     case order_outcome::accepted:
--- a/cyclamenwood/order.h
+++ b/cyclamenwood/order.h
@@ -18,6 +18,9 @@
 
 namespace cyclamenwood {
 
+// The name of a task on upstreams: "JOB.0.STEP.TASK".
+std::string task_name(std::string_view job, uint32_t step, uint32_t task);
+
 enum class order_kind { start, stop, renewal };
 
 struct run_order {
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -120,7 +120,8 @@
   // lists without extending the lease, so that the runs end if the upstream is
   // partitioned from its owner.
   bool reachable = true;
-  // The last order was unanswered since no process listens at the address.
+  // An order was unanswered since no process listens at the address, and no
+  // list was received since.
   bool connection_refused = false;
   unix_ms next_renewal_ms = 0;
   unix_ms last_contact_ms = 0;
@@ -244,6 +245,8 @@
 struct pool_output {
   std::vector<run_order> orders;
   std::vector<std::pair<std::string, wire::run_results>> results;
+  // Runs that were lost, for the other hosts that may start their tasks.
+  std::vector<wire::run_loss> losses;
   std::vector<log_event> events;
   // An upstream rejected an order because of its fencing token: this process is
   // no longer the owner.
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -94,7 +94,7 @@
 }  // namespace
 
 std::string task_name(const wire::run_request& request, uint32_t task) {
-  return fmt::format("{}.0.{}.{}", request.job(), request.step(), task);
+  return task_name(request.job(), request.step(), task);
 }
 
 pool_job* find_job(pool& pool, const leased_run& run) {
@@ -206,12 +206,15 @@
   if (added) {
     job.request = request;
     job.request.clear_tasks();
+    job.request.clear_losses();
     job.deadline_ms = now + request.remaining_ms();
     job.objective_ms = now + request.aim_ms();
     job.started = request.resumed();
     job.former_upstreams = {request.former_upstreams().begin(),
                             request.former_upstreams().end()};
   }
+  for (const wire::run_loss& loss : request.losses())
+    record_loss(pool.losses, loss, now);
   size_t new_tasks = 0;
   for (uint32_t task : request.tasks()) {
     auto [state, is_new] = job.tasks.try_emplace(task);
@@ -222,6 +225,11 @@
       state->second.returnable = request.returnable() && !request.resumed();
       enqueue_task(pool, job, task);
     }
+    // A queued task is given up as soon as its losses are known.
+    bool given_up = state->second.queued &&
+                    is_given_up(pool.losses, task_name(request, task));
+    if (given_up)
+      settle_task(pool, job, task, wire::RUN_CRASHED, out);
   }
   record_load(pool, request, new_tasks, now);
 }
--- a/cyclamenwood/pool_losses.cc
+++ b/cyclamenwood/pool_losses.cc
@@ -7,6 +7,8 @@
 // that ran there.
 #include <fmt/format.h>
 
+#include <utility>
+
 #include "cyclamenwood/pool_internal.h"
 
 namespace cyclamenwood {
@@ -34,6 +36,7 @@
   loss.set_task(name);
   loss.set_upstream(upstream.info.id());
   loss.set_incarnation(incarnation_of(upstream, run));
+  loss.set_remaining_ms(LOSS_RETENTION_MS);
   loss.set_crashed(evidence != loss_evidence::silent);
   return loss;
 }
@@ -93,8 +96,11 @@
               pool_output& out) {
   const leased_run& run = upstream.runs.at(name);
   log_loss(upstream, name, run, evidence, now, out);
-  if (counts_as_loss(run, evidence))
-    record_loss(pool.losses, describe_loss(upstream, name, run, evidence), now);
+  if (counts_as_loss(run, evidence)) {
+    wire::run_loss loss = describe_loss(upstream, name, run, evidence);
+    record_loss(pool.losses, loss, now);
+    out.losses.push_back(std::move(loss));
+  }
   end_run(pool, upstream, name, run_end::lease_expired, out);
 }
 
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -407,6 +407,7 @@
     return;
   }
   bool was_reachable = std::exchange(upstream.reachable, true);
+  upstream.connection_refused = false;
   if (!was_reachable && upstream.listed)
     out.events.push_back({"upstream_reachable",
                           fmt::format("upstream={} runs={}", upstream.info.id(),
@@ -529,7 +530,8 @@
     read_clock(upstream, reply.clock_ms, now);
   if (reply.outcome != order_outcome::unanswered)
     upstream.last_contact_ms = now;
-  upstream.connection_refused = reply.connection_refused;
+  upstream.connection_refused =
+      upstream.connection_refused || reply.connection_refused;
   if (order.kind == order_kind::start)
     start_replied(pool, upstream, order, reply.outcome, now, out);
   else if (order.kind == order_kind::stop)
