A task that was ordered is not returned as if it had not been

A task that an entry host allows to be returned kept that mark when it was started. The mark now ends with the first order, as the comment on it says.

pool_losses.a_lost_task_is_not_returned_as_if_never_ordered failed before.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -236,7 +236,7 @@
 caller_outcome outcome_at_deadline(const intake& intake,
                                    const intake_job& job,
                                    unix_ms now) {
-  if (job.pools.empty())
+  if (job.pools.empty() && !job.started)
     return caller_outcome::refused;
   bool all_reachable = std::all_of(
       job.pools.begin(), job.pools.end(),
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -128,6 +128,7 @@
   pool.placement_due = true;
   pool_task& state = job.tasks[task];
   state.queued = false;
+  state.returnable = false;
   job.started = true;
   state.next_attempt = run.attempt + 1;
   return true;
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -476,6 +476,7 @@
                unix_ms now,
                pool_output& out) {
   job.started = true;
+  job.tasks.at(task).returnable = false;
   std::string name = task_name(job.request, task);
   leased_run& run = upstream.runs[name];
   run.submission = job.request.submission();
--- a/cyclamenwood/testing/pool_losses_test.cc
+++ b/cyclamenwood/testing/pool_losses_test.cc
@@ -81,6 +81,19 @@
   EXPECT_TRUE(state.placed.contains("j.0.0.0"));
 }
 
+TEST_F(pool_losses, a_lost_task_is_not_returned_as_if_never_ordered) {
+  add_fragile_upstreams(1, "j.0.0.0");
+  own(1);
+  run_until(now + 100);
+  wire::run_request returnable = patient_request("j", 1);
+  returnable.set_returnable(true);
+  ask(returnable);
+  ASSERT_TRUE(state.placed.contains("j.0.0.0"));
+  run_until(now + 2'000);
+  EXPECT_EQ(crashes(), 1U);
+  EXPECT_EQ(count(wire::RUN_RETURNED), 0U);
+}
+
 TEST_F(pool_losses, a_restart_under_the_same_id_counts_as_a_crash) {
   add_fragile_upstreams(8, "j.0.0.0");
   for (fake_upstream& upstream : upstreams)
