A task that may have crashed an upstream runs alone

When two tasks that were lost together are started together again, the second crash can't tell which of them was the cause, and both would be given up.

A task with a crash behind it is now started only on an upstream where nothing runs, and nothing is started beside it. If none is free it waits, so that at high load it doesn't take capacity from tasks that can be in time. Weighed: reserving an upstream for such tasks, which costs capacity just when upstreams are missing; not played.

pool_losses.a_second_crash_takes_no_other_task_with_it failed before (three tasks lost) and passes.

--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -127,6 +127,8 @@
   unix_ms last_contact_ms = 0;
   // No task is started there before this time.
   unix_ms backoff_until_ms = 0;
+  // A task that may have crashed another upstream runs there alone.
+  bool isolated = false;
   // It was ejected: after the back-off it gets one task at a time until one
   // succeeds.
   bool on_probation = false;
@@ -139,6 +141,8 @@
   // To be returned to the entry host if it can't start at once. Only a task
   // that was never placed has this set.
   bool returnable = false;
+  // It may have crashed an upstream, and runs alone from now on.
+  bool suspect = false;
   uint32_t failures = 0;
   uint32_t next_attempt = 1;
   // Upstreams where an attempt failed or progressed too slowly.
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -184,6 +184,7 @@
     settle_task(pool, *job, run.task, wire::RUN_CRASHED, out);
     return;
   }
+  task.suspect = is_suspect(pool.losses, task_name(job->request, run.task));
   enqueue_task(pool, *job, run.task);
 }
 
@@ -226,10 +227,9 @@
       state->second.returnable = request.returnable() && !request.resumed();
       enqueue_task(pool, job, task);
     }
-    // A queued task is given up as soon as its losses are known.
-    bool given_up = state->second.queued &&
-                    is_given_up(pool.losses, task_name(request, task));
-    if (given_up)
+    std::string name = task_name(request, task);
+    state->second.suspect = is_suspect(pool.losses, name);
+    if (state->second.queued && is_given_up(pool.losses, name))
       settle_task(pool, job, task, wire::RUN_CRASHED, out);
   }
   record_load(pool, request, new_tasks, now);
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -7,6 +7,10 @@
 // entry host knows of capacity elsewhere, where the task starts sooner than it
 // would here.
 //
+// A task that may have crashed an upstream gets one to itself: if it crashes
+// that one too, it takes no other task with it, and the second crash shows
+// which of the tasks that were lost in the first one was the cause.
+//
 // This handles load that is close to the capacity, with bursts above it. The
 // queue then contains jobs of all priorities, and jobs that can no longer
 // complete in time would only take capacity from those that can.
@@ -123,7 +127,7 @@
 bool may_take_work(const leased_upstream& upstream, unix_ms now) {
   return upstream.listed && upstream.reachable &&
          upstream.info.state() == wire::UPSTREAM_READY &&
-         now >= upstream.backoff_until_ms &&
+         now >= upstream.backoff_until_ms && !upstream.isolated &&
          !(upstream.on_probation && !upstream.runs.empty());
 }
 
@@ -156,6 +160,7 @@
   preference best_preference;
   for (auto& [id, upstream] : pool.upstreams) {
     if (!may_take_work(upstream, now) ||
+        (task.suspect && !upstream.runs.empty()) ||
         upstream.first_listed_version > known_version ||
         upstream.info.service() != request.service() ||
         !has_label(upstream.info, request.label()))
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -464,6 +464,7 @@
   leased_run run = std::move(found->second);
   upstream.runs.erase(found);
   release_resources(upstream, run.need);
+  upstream.isolated = upstream.isolated && !upstream.runs.empty();
   pool.placed.erase(name);
   pool.placement_due = true;
   task_run_settled(pool, run, upstream.info.id(), how, out);
@@ -477,6 +478,7 @@
                pool_output& out) {
   job.started = true;
   job.tasks.at(task).returnable = false;
+  upstream.isolated = job.tasks.at(task).suspect;
   std::string name = task_name(job.request, task);
   leased_run& run = upstream.runs[name];
   run.submission = job.request.submission();
--- a/cyclamenwood/testing/pool_losses_test.cc
+++ b/cyclamenwood/testing/pool_losses_test.cc
@@ -94,6 +94,23 @@
   EXPECT_EQ(count(wire::RUN_RETURNED), 0U);
 }
 
+TEST_F(pool_losses, a_second_crash_takes_no_other_task_with_it) {
+  add_fragile_upstreams(3, "j.0.0.0");
+  own(1);
+  run_until(now + 100);
+  ask(patient_request("j", 1));
+  std::set<std::string> lost;
+  for (uint64_t submission = 20; submission < 100; ++submission) {
+    ask(request(submission, "k" + std::to_string(submission), 1));
+    run_until(now + 40);
+  }
+  EXPECT_EQ(crashes(), 2U);
+  EXPECT_EQ(count(wire::RUN_CRASHED), 1U);
+  for (const auto& [task, upstreams] : state.losses.tasks)
+    EXPECT_TRUE(task == "j.0.0.0" || upstreams.size() == 1) << task;
+  EXPECT_LE(state.losses.tasks.size(), 2U);
+}
+
 TEST_F(pool_losses, a_restart_under_the_same_id_counts_as_a_crash) {
   add_fragile_upstreams(8, "j.0.0.0");
   for (fake_upstream& upstream : upstreams)
