--- /dev/null
+++ b/cyclamenwood/intake_end.cc
@@ -0,0 +1,99 @@
+// The end of a job: its callers are answered, and the owners that have tasks of
+// it release them.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "cyclamenwood/intake_internal.h"
+
+namespace cyclamenwood {
+namespace {
+
+void answer_job(intake_output& out,
+                const intake_job& job,
+                caller_outcome outcome,
+                int64_t retry_after_ms,
+                unix_ms now) {
+  for (uint64_t exchange : job.exchanges)
+    out.answers.push_back({exchange, outcome, retry_after_ms, 0, job.queue.name,
+                           now - job.arrived_ms});
+}
+
+// Lists "pool/token" of each owner that tasks were sent to.
+std::string describe_owners(const intake_job& job) {
+  std::string text;
+  for (const auto& [name, token] : job.pools)
+    text += fmt::format("{}{}/{}", text.empty() ? "" : ",", name, token);
+  return text.empty() ? "none" : text;
+}
+
+// How often owners returned tasks of the job.
+uint32_t count_returns(const intake_job& job) {
+  uint32_t returns = 0;
+  for (const intake_step& step : job.steps) {
+    for (const intake_task& task : step.tasks)
+      returns += task.returns;
+  }
+  return returns;
+}
+
+}  // namespace
+
+int64_t critical_path_ms(const job_spec& job) {
+  std::vector<int64_t> ends;
+  int64_t longest = 0;
+  for (const step_spec& step : job.steps) {
+    int64_t start = 0;
+    for (uint32_t earlier : step.depends_on)
+      start = std::max(start, ends[earlier]);
+    ends.push_back(start + step.estimate_ms);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+void remove_job(intake& intake, uint64_t submission, intake_output& out) {
+  auto found = intake.jobs.find(submission);
+  const intake_job& job = found->second;
+  for (const auto& [name, token] : job.pools) {
+    auto grant = intake.grants.find(name);
+    if (grant == intake.grants.end())
+      continue;
+    wire::envelope envelope;
+    envelope.mutable_run_release()->set_submission(submission);
+    out.messages.emplace_back(grant->second.host(), std::move(envelope));
+  }
+  intake.by_id.erase(job.id);
+  intake.jobs.erase(found);
+}
+
+void end_job(intake& intake,
+             uint64_t submission,
+             caller_outcome outcome,
+             std::string_view reason,
+             unix_ms now,
+             intake_output& out,
+             int64_t wait_ms) {
+  const intake_job& job = intake.jobs.at(submission);
+  answer_job(out, job, outcome,
+             outcome == caller_outcome::refused
+                 ? std::max(wait_ms, MIN_RETRY_AFTER_MS)
+                 : 0,
+             now);
+  out.notes.push_back(
+      {"job_ended",
+       fmt::format("job={} queue={} outcome={} reason={} ms={} wait_ms={} "
+                   "tasks={} cpu_milli={} estimate_ms={} returns={} owners={} "
+                   "version={}",
+                   job.id, job.queue.name, to_string(outcome), reason,
+                   now - job.arrived_ms, job.deadline_ms - job.arrived_ms,
+                   job.job.steps.front().count,
+                   job.job.steps.front().need.cpu_milli(),
+                   critical_path_ms(job.job), count_returns(job),
+                   describe_owners(job), intake.routes->version)});
+  remove_job(intake, submission, out);
+}
+
+}  // namespace cyclamenwood
--- /dev/null
+++ b/cyclamenwood/intake_internal.h
@@ -0,0 +1,37 @@
+// Functions shared by the source files of the intake; not part of its
+// interface.
+#ifndef CYCLAMENWOOD_INTAKE_INTERNAL_H_
+#define CYCLAMENWOOD_INTAKE_INTERNAL_H_
+
+#include <string_view>
+
+#include "cyclamenwood/intake.h"
+
+namespace cyclamenwood {
+
+// Lower bound of the retry time of refusals: the shortest that can be sent, in
+// whole seconds.
+constexpr int64_t MIN_RETRY_AFTER_MS = 1'000;
+
+// ---- intake_end.cc ----------------------------------------------------------
+
+// Returns the estimated time of the longest chain of dependent steps, which is
+// the critical path.
+int64_t critical_path_ms(const job_spec& job);
+
+// Answers the callers of a job and removes it. `reason` is for the log;
+// `wait_ms` is the time after which a refused job could be served.
+void end_job(intake& intake,
+             uint64_t submission,
+             caller_outcome outcome,
+             std::string_view reason,
+             unix_ms now,
+             intake_output& out,
+             int64_t wait_ms = 0);
+
+// Removes a job and lets the owners of its pools release its runs.
+void remove_job(intake& intake, uint64_t submission, intake_output& out);
+
+}  // namespace cyclamenwood
+
+#endif  // CYCLAMENWOOD_INTAKE_INTERNAL_H_
