A lost release no longer leaves a task running beside its next run

A caller that got no result submits its job again after 1.3 s, perhaps to another entry host and another pool. The release of the first submission was sent once. If it was lost, as when a connection is reset, the first owner kept the task queued and started it later, beside the run of the second submission.

Entry hosts now repeat the release of a job with unfinished tasks each 100 ms until the owner confirms it, or until the owner must have dropped the host's jobs. Jobs that are complete are released as before, without a confirmation.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -345,15 +345,23 @@
 
 void receive_run_release(host_entry& state,
                          unix_ms now,
-                         uint64_t submission,
+                         const wire::envelope& envelope,
                          host_outbox& out) {
+  const wire::run_release& release = envelope.run_release();
   for (auto& [name, pool] : state.pools) {
-    if (pool.token == 0)
+    bool meant = release.pool().empty() || release.pool() == name;
+    if (pool.token == 0 || !meant)
       continue;
     pool_output done;
-    release_runs(pool, submission, now, done);
+    release_runs(pool, release.submission(), now, done);
     apply_output(state, pool, std::move(done), now, out);
   }
+  if (!release.confirm())
+    return;
+  wire::envelope reply;
+  reply.mutable_run_released()->set_submission(release.submission());
+  reply.mutable_run_released()->set_pool(release.pool());
+  send(state, envelope.from(), std::move(reply), out);
 }
 
 void receive(host_entry& state,
@@ -369,7 +377,10 @@
       receive_run_request(state, now, envelope, out);
       break;
     case wire::envelope::kRunRelease:
-      receive_run_release(state, now, envelope.run_release().submission(), out);
+      receive_run_release(state, now, envelope, out);
+      break;
+    case wire::envelope::kRunReleased:
+      receive_run_released(state.callers, envelope.run_released());
       break;
     case wire::envelope::kRunResults:
       receive_run_results(state.callers, envelope.from(),
@@ -441,7 +452,7 @@
               const host_caller_disconnected& event,
               host_outbox& out) {
   intake_output taken;
-  caller_disconnected(state.callers, event.exchange, taken);
+  caller_disconnected(state.callers, event.exchange, event.now, taken);
   apply_output(state, std::move(taken), out);
 }
 
--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -180,8 +180,9 @@
   void execute(const run_order& effect) { upstreams_.send(effect); }
 
   void execute(const host_send& effect) {
-    bool is_reply =
-        effect.envelope.has_run_results() || effect.envelope.has_pool_state();
+    bool is_reply = effect.envelope.has_run_results() ||
+                    effect.envelope.has_pool_state() ||
+                    effect.envelope.has_run_released();
     // Replies are sent on the stream that the other process opened.
     if (!is_reply)
       rpc_.add_peer(effect.host, effect.host);
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -449,6 +449,7 @@
 
 void caller_disconnected(intake& intake,
                          uint64_t exchange,
+                         unix_ms now,
                          intake_output& out) {
   for (auto& [submission, job] : intake.jobs) {
     auto found =
@@ -459,7 +460,7 @@
     if (!job.exchanges.empty())
       return;
     out.notes.push_back({"caller_left", fmt::format("job={}", job.id)});
-    remove_job(intake, submission, out);
+    remove_job(intake, submission, now, out);
     return;
   }
 }
@@ -586,6 +587,7 @@
         result.step() >= found->second.steps.size()) {
       wire::envelope envelope;
       envelope.mutable_run_release()->set_submission(result.submission());
+      envelope.mutable_run_release()->set_pool(results.pool());
       out.messages.emplace_back(from, std::move(envelope));
       continue;
     }
@@ -642,6 +644,7 @@
 
 void tick_intake(intake& intake, unix_ms now, intake_output& out) {
   expire_losses(intake.losses, now);
+  tick_releases(intake, now, out);
   std::vector<uint64_t> expired;
   for (auto& [submission, job] : intake.jobs) {
     if (now >= std::min(job.deadline_ms, intake.answer_by_ms))
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cyclamenwood/error.h"
@@ -137,6 +138,14 @@
   bool started = false;
 };
 
+// A release that its owner has not confirmed. While it is not known there, the
+// owner may still start the tasks.
+struct pending_release {
+  std::string host;
+  unix_ms resend_ms = 0;
+  unix_ms expires_ms = 0;
+};
+
 using grant_list = google::protobuf::RepeatedPtrField<wire::owner_grant>;
 
 // The last reported state of one pool.
@@ -179,6 +188,8 @@
   uint64_t have_token = 0;
   std::map<std::string, pool_view> pools;
   std::map<uint64_t, intake_job> jobs;
+  // By submission and name of the pool.
+  std::map<std::pair<uint64_t, std::string>, pending_release> releases;
   // Runs that were lost, as reported by owners; given to the owners that the
   // tasks are sent to next.
   loss_history losses;
@@ -201,7 +212,10 @@
 
 // Removes a caller that closed its connection. A job without callers is dropped
 // and its runs are released.
-void caller_disconnected(intake& intake, uint64_t exchange, intake_output& out);
+void caller_disconnected(intake& intake,
+                         uint64_t exchange,
+                         unix_ms now,
+                         intake_output& out);
 
 // Takes those of `grants` that have a higher token than the known ones. Returns
 // whether the owner of a pool changed; its new owner should be sent a hello at
@@ -226,6 +240,9 @@
                          unix_ms now,
                          intake_output& out);
 
+// Takes the confirmation of a release.
+void receive_run_released(intake& intake, const wire::run_released& released);
+
 // Ends jobs whose deadline has passed and sends what is due again. To be called
 // every few tens of milliseconds.
 void tick_intake(intake& intake, unix_ms now, intake_output& out);
--- a/cyclamenwood/intake_end.cc
+++ b/cyclamenwood/intake_end.cc
@@ -1,5 +1,10 @@
 // The end of a job: its callers are answered, and the owners that have tasks of
 // it release them.
+//
+// A caller that got no result may submit the job again after a while, and it
+// may then be sent to other owners. A release of tasks that have not ended is
+// therefore sent until its owner confirms it: one that was lost would leave a
+// task in a queue or running, beside its run for the next submission.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -7,10 +12,30 @@
 #include <utility>
 
 #include "cyclamenwood/intake_internal.h"
+#include "cyclamenwood/pool.h"
 
 namespace cyclamenwood {
 namespace {
 
+// Several times the time that a confirmation takes within a region.
+constexpr int64_t RELEASE_RESEND_MS = 100;
+// An owner that receives nothing from this host for this long has dropped its
+// jobs.
+constexpr int64_t RELEASE_EXPIRY_MS = 2 * PEER_TIMEOUT_MS;
+
+void send_release(const std::string& host,
+                  uint64_t submission,
+                  const std::string& pool,
+                  bool confirm,
+                  intake_output& out) {
+  wire::envelope envelope;
+  wire::run_release& release = *envelope.mutable_run_release();
+  release.set_submission(submission);
+  release.set_pool(pool);
+  release.set_confirm(confirm);
+  out.messages.emplace_back(host, std::move(envelope));
+}
+
 void answer_job(intake_output& out,
                 const intake_job& job,
                 caller_outcome outcome,
@@ -54,16 +79,24 @@
   return longest;
 }
 
-void remove_job(intake& intake, uint64_t submission, intake_output& out) {
+void remove_job(intake& intake,
+                uint64_t submission,
+                unix_ms now,
+                intake_output& out) {
   auto found = intake.jobs.find(submission);
   const intake_job& job = found->second;
+  bool unfinished =
+      std::any_of(job.steps.begin(), job.steps.end(),
+                  [](const intake_step& step) { return step.unfinished > 0; });
   for (const auto& [name, token] : job.pools) {
     auto grant = intake.grants.find(name);
     if (grant == intake.grants.end())
       continue;
-    wire::envelope envelope;
-    envelope.mutable_run_release()->set_submission(submission);
-    out.messages.emplace_back(grant->second.host(), std::move(envelope));
+    const std::string& host = grant->second.host();
+    send_release(host, submission, name, unfinished, out);
+    if (unfinished)
+      intake.releases[{submission, name}] = {host, now + RELEASE_RESEND_MS,
+                                             now + RELEASE_EXPIRY_MS};
   }
   intake.by_id.erase(job.id);
   intake.jobs.erase(found);
@@ -93,7 +126,23 @@
                    job.job.steps.front().need.cpu_milli(),
                    critical_path_ms(job.job), count_returns(job),
                    describe_owners(job), intake.routes->version)});
-  remove_job(intake, submission, out);
+  remove_job(intake, submission, now, out);
+}
+
+void tick_releases(intake& intake, unix_ms now, intake_output& out) {
+  std::erase_if(intake.releases, [now](const auto& item) {
+    return now >= item.second.expires_ms;
+  });
+  for (auto& [id, release] : intake.releases) {
+    if (now < release.resend_ms)
+      continue;
+    release.resend_ms = now + RELEASE_RESEND_MS;
+    send_release(release.host, id.first, id.second, true, out);
+  }
+}
+
+void receive_run_released(intake& intake, const wire::run_released& released) {
+  intake.releases.erase({released.submission(), released.pool()});
 }
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/intake_internal.h
+++ b/cyclamenwood/intake_internal.h
@@ -30,7 +30,13 @@
              int64_t wait_ms = 0);
 
 // Removes a job and lets the owners of its pools release its runs.
-void remove_job(intake& intake, uint64_t submission, intake_output& out);
+void remove_job(intake& intake,
+                uint64_t submission,
+                unix_ms now,
+                intake_output& out);
+
+// Sends the releases again that are due.
+void tick_releases(intake& intake, unix_ms now, intake_output& out);
 
 }  // namespace cyclamenwood
 
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -266,12 +266,30 @@
 TEST_F(intake_fixture, a_disconnected_caller_releases_its_job) {
   submit(1, "a", make_job(1, 100));
   out = {};
-  caller_disconnected(state, 1, out);
+  caller_disconnected(state, 1, now, out);
   ASSERT_EQ(out.messages.size(), 1U);
   EXPECT_TRUE(out.messages[0].second.has_run_release());
   EXPECT_TRUE(state.jobs.empty());
 }
 
+TEST_F(intake_fixture, a_lost_release_is_sent_again) {
+  submit(1, "a", make_job(2, 100));
+  uint64_t submission = requests("e1")[0].submission();
+  caller_disconnected(state, 1, now, out);
+  out.messages.clear();
+  tick_intake(state, now + 100, out);
+  ASSERT_EQ(out.messages.size(), 1U);
+  EXPECT_EQ(out.messages[0].first, "e1");
+  EXPECT_EQ(out.messages[0].second.run_release().submission(), submission);
+  wire::run_released confirmed;
+  confirmed.set_submission(submission);
+  confirmed.set_pool("kranj");
+  receive_run_released(state, confirmed);
+  out.messages.clear();
+  tick_intake(state, now + 200, out);
+  EXPECT_TRUE(out.messages.empty());
+}
+
 TEST_F(intake_fixture, unsupported_jobs_are_refused_and_never_sent) {
   job_spec stored = make_job(1, 100);
   stored.best_effort = false;
