An older report of an upstream does not restore a capacity it has lost

What could happen: an upstream tells one replica of 4 cores, then another of 1. An entry host took the reports in the order of their arrival, also the older one that the first replica sent later (after a lost message, a restart of the entry host, a partition), and started tasks for 4 cores. It now keeps the report with the highest incarnation and sequence. That an upstream is leaving is final within an incarnation, so that it is taken from older reports too.

host_entry.an_older_report_does_not_restore_a_lost_capacity failed before.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -258,16 +258,19 @@
   state.entry_hosts.insert(state.settings.rpc);
 }
 
-// Replicas may report different states of an upstream; the highest incarnation
-// is kept, and leaving is final within an incarnation.
+// Replicas hear different announcements of an upstream. The latest one counts,
+// but leaving is final within an incarnation.
 void receive_upstream(host_entry& state,
                       const wire::upstream& reported,
                       unix_ms now,
                       host_outbox& out) {
   wire::upstream& known = state.upstreams[reported.id()];
-  bool has_left = known.state() == wire::UPSTREAM_LEAVING &&
-                  known.incarnation() == reported.incarnation();
-  if (reported.incarnation() >= known.incarnation())
+  bool has_left = known.incarnation() == reported.incarnation() &&
+                  (known.state() == wire::UPSTREAM_LEAVING ||
+                   reported.state() == wire::UPSTREAM_LEAVING);
+  bool is_older = std::pair(reported.incarnation(), reported.sequence()) <
+                  std::pair(known.incarnation(), known.sequence());
+  if (!is_older)
     known = reported;
   if (has_left)
     known.set_state(wire::UPSTREAM_LEAVING);
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -600,6 +600,40 @@
   EXPECT_EQ(state.pools.at("kranj").token, 0U);
 }
 
+TEST(host_entry, an_older_report_does_not_restore_a_lost_capacity) {
+  host_settings settings;
+  settings.rpc = "e1";
+  settings.zone = "kranj";
+  host_entry state = make_host_entry(settings, 1, [](std::string_view) {
+    return result<route_table>(route_table());
+  });
+  auto report = [&](const std::string& replica, uint64_t sequence,
+                    uint32_t cpu_milli, wire::upstream_state upstream_state) {
+    wire::envelope envelope;
+    envelope.set_from(replica);
+    wire::upstream& upstream =
+        *envelope.mutable_control_news()->add_upstreams();
+    upstream.set_id("u1");
+    upstream.set_incarnation(3);
+    upstream.set_sequence(sequence);
+    upstream.set_zone("kranj");
+    upstream.set_state(upstream_state);
+    upstream.mutable_capacity()->set_cpu_milli(cpu_milli);
+    reduce(state, host_received{1000, envelope});
+  };
+  const wire::upstream& known = state.upstreams["u1"];
+  report("r1", 7, 4000, wire::UPSTREAM_READY);
+  report("r2", 9, 1000, wire::UPSTREAM_READY);
+  report("r1", 8, 4000, wire::UPSTREAM_READY);
+  EXPECT_EQ(known.capacity().cpu_milli(), 1000U);
+  report("r1", 8, 4000, wire::UPSTREAM_LEAVING);
+  EXPECT_EQ(known.capacity().cpu_milli(), 1000U);
+  EXPECT_EQ(known.state(), wire::UPSTREAM_LEAVING);
+  report("r2", 10, 2000, wire::UPSTREAM_READY);
+  EXPECT_EQ(known.capacity().cpu_milli(), 2000U);
+  EXPECT_EQ(known.state(), wire::UPSTREAM_LEAVING);
+}
+
 // Two owners of one upstream would reject each other's orders by fencing.
 // The owner has forgotten an upstream that has left. A replica that did not
 // hear of the leave, as it was restarted or partitioned, still reports the
