A capacity that was announced elsewhere meanwhile is reported again

An upstream announces itself to whichever replica answers. It tells A of 1 core, B of 4, then A of 1 core again: A saw no change and told nobody, and entry hosts went on with the 4 cores that B had reported. After the other order the upstream's capacity stayed unused.

Each announcement takes the next sequence, so that a gap shows that some arrived elsewhere or not at all. What follows a gap is passed on as a change.

directory.a_capacity_that_was_announced_elsewhere_is_reported_again failed before.

--- a/cyclamenwood/directory.cc
+++ b/cyclamenwood/directory.cc
@@ -35,7 +35,10 @@
   wire::upstream current = announced;
   if (has_left)
     current.set_state(wire::UPSTREAM_LEAVING);
-  bool news = added || has_changed(record.upstream, current);
+  // Announcements that did not arrive here may have told other replicas that
+  // the upstream had changed. That it is now as it was before is a change then.
+  bool missed_some = announced.sequence() != record.upstream.sequence() + 1;
+  bool news = added || missed_some || has_changed(record.upstream, current);
   record.upstream = std::move(current);
   if (news)
     record.change = ++directory.last_change;
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -238,6 +238,23 @@
   EXPECT_EQ(other_zone_updates.upstreams_size(), 0);
 }
 
+TEST(directory, a_capacity_that_was_announced_elsewhere_is_reported_again) {
+  upstream_directory first;
+  upstream_directory second;
+  auto announce = [](upstream_directory& directory, uint64_t sequence,
+                     uint32_t cpu_milli) {
+    wire::upstream sent = announcement(5, sequence, wire::UPSTREAM_READY);
+    sent.mutable_capacity()->set_cpu_milli(cpu_milli);
+    return receive_announcement(directory, sent, 1000);
+  };
+  EXPECT_TRUE(announce(first, 1, 1000));
+  EXPECT_FALSE(announce(first, 2, 1000));
+  EXPECT_TRUE(announce(second, 3, 4000));
+  // The capacity that the first replica knows already.
+  EXPECT_TRUE(announce(first, 4, 1000));
+  EXPECT_FALSE(announce(first, 5, 1000));
+}
+
 // An upstream has left. An announcement that it sent before, of which this
 // replica had received neither it nor a later one, arrives after that.
 TEST(directory, an_upstream_that_has_left_stays_so) {
