A run of unknown size keeps all of its upstream's capacity reserved

A new owner reserved for each run that it found the upstream's capacity at that moment, since the list doesn't tell what a run needs. If the capacity had shrunk below what ran there and grew again before the run was requested or stopped (up to 400 ms and the stop), the owner started tasks beside it for more than the upstream had left.

Such a run now counts as larger than any capacity. pool_fixture.a_found_run_is_not_taken_for_smaller_than_it_is failed before (a start was rejected for want of room; an upstream that doesn't guard its capacity would have carried it out).

--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -39,6 +39,17 @@
 // The part of an order number that counts the orders under one token.
 constexpr int ORDER_BITS = 32;
 
+// The resources of a run that no entry host has requested so far: more than any
+// upstream has, whatever its capacity becomes, so that nothing starts beside
+// it.
+wire::room unknown_need() {
+  wire::room need;
+  need.set_cpu_milli(UINT32_MAX);
+  need.set_memory_mb(UINT32_MAX);
+  need.set_accelerators(UINT32_MAX);
+  return need;
+}
+
 int64_t lease_deadline(const pool& pool,
                        leased_upstream& upstream,
                        unix_ms now) {
@@ -352,7 +363,7 @@
   bool runs_elsewhere = pool.placed.contains(listed.task);
   leased_run& found = upstream.runs[listed.task];
   found.attempt = listed.attempt;
-  found.need = upstream.info.capacity();
+  found.need = unknown_need();
   reserve_resources(upstream, found.need);
   found.state = run_state::running;
   found.absence_valid_from_ms = now;
--- a/cyclamenwood/testing/fake_upstream.cc
+++ b/cyclamenwood/testing/fake_upstream.cc
@@ -68,6 +68,11 @@
   next_end_ = 1;
 }
 
+void fake_upstream::set_capacity(uint32_t cpu_milli) {
+  info_.mutable_capacity()->set_cpu_milli(cpu_milli);
+  info_.set_sequence(info_.sequence() + 1);
+}
+
 order_outcome fake_upstream::start(const run_order& order, unix_ms now) {
   auto running = runs_.find(order.task);
   if (running != runs_.end() && running->second.attempt == order.attempt)
--- a/cyclamenwood/testing/fake_upstream.h
+++ b/cyclamenwood/testing/fake_upstream.h
@@ -56,6 +56,9 @@
   // Replaces the process by a new incarnation under the same id.
   void restart(unix_ms now);
 
+  // Changes its capacity; the next announcement shows it.
+  void set_capacity(uint32_t cpu_milli);
+
   const wire::upstream& info() const { return info_; }
   const std::map<std::string, fake_run>& runs() const { return runs_; }
   uint32_t used_cpu_milli() const;
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -88,6 +88,28 @@
   EXPECT_EQ(upstream.starts(), 2U);
 }
 
+TEST_F(pool_fixture, a_found_run_is_not_taken_for_smaller_than_it_is) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.cpu_of = [](const std::string&) { return 2000; };
+  upstream.set_run_ms(700);
+  own(1);
+  run_until(now + 20);
+  wire::run_request whole = request(1, "j1", 1);
+  whole.mutable_need()->set_cpu_milli(2000);
+  ask(whole);
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 1U);
+  upstream.set_capacity(1000);
+  update_upstream(state, upstream.info(), now, out);
+  own(2);
+  run_until(now + 20);
+  upstream.set_capacity(2000);
+  update_upstream(state, upstream.info(), now, out);
+  ask(request(2, "j2", 1));
+  run_until(now + 50);
+  EXPECT_EQ(upstream.rejected_no_room(), 0U);
+}
+
 // The request may reach the new owner before the lists do.
 TEST_F(pool_fixture, a_resumed_task_is_not_started_before_the_lists_are_read) {
   fake_upstream& first = add_upstream("u1");
