A new incarnation gets no task before it has announced its capacity

The same class of fault once more: an owner that learned from a list that an upstream had started again under its id went on with the capacity and the labels of the incarnation before, though the new one may be of another kind. It started tasks for which there was no room, or which that kind may not run, until the announcement came (up to a beat later).

The new incarnation now counts as neither ready nor leaving until its announcement arrives. pool_fixture.a_new_incarnation_is_not_taken_for_as_large_as_the_last failed before (one start too many, one rejected for want of room).

pool_fixture.a_restarted_upstream_loses_its_runs_at_once now announces the restarted upstream 50 ms after the restart, as upstreams do; what it checks and its times stay.

--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -164,7 +164,9 @@
 // clock start again. A run may belong to the previous incarnation, which has
 // ended, or may have been ordered since the restart; only the next list tells
 // which. An unanswered start may yet be carried out by the new incarnation,
-// which did not receive any stop: the stop is sent to it again.
+// which did not receive any stop: the stop is sent to it again. It may have
+// another capacity and other labels than the last one, so that it gets no task
+// before it has announced itself.
 void begin_new_incarnation(leased_upstream& upstream,
                            uint64_t incarnation,
                            unix_ms now,
@@ -175,6 +177,7 @@
   uint64_t past = upstream.info.incarnation();
   bool has_left = upstream.info.state() == wire::UPSTREAM_LEAVING;
   upstream.info.set_incarnation(incarnation);
+  upstream.info.set_state(wire::UPSTREAM_UNSPECIFIED);
   upstream.last_end_number = 0;
   upstream.clock_offset_ms.reset();
   upstream.on_probation = false;
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -315,12 +315,30 @@
   ask(request(1, "j1", 1));
   run_until(now + 50);
   upstream.restart(now);
-  run_until(now + 400);
+  run_until(now + 50);
+  update_upstream(state, upstream.info(), now, out);
+  run_until(now + 350);
   EXPECT_EQ(upstream.starts(), 2U);
   run_until(now + 800);
   EXPECT_EQ(count(wire::RUN_DONE), 1U);
 }
 
+TEST_F(pool_fixture, a_new_incarnation_is_not_taken_for_as_large_as_the_last) {
+  fake_upstream& upstream = add_upstream("u1");
+  own(1);
+  run_until(now + 20);
+  upstream.restart(now);
+  upstream.set_capacity(1000);
+  run_until(now + 400);
+  ask(request(1, "j1", 2));
+  run_until(now + 50);
+  EXPECT_EQ(upstream.starts(), 0U);
+  update_upstream(state, upstream.info(), now, out);
+  run_until(now + 50);
+  EXPECT_EQ(upstream.starts(), 1U);
+  EXPECT_EQ(upstream.rejected_no_room(), 0U);
+}
+
 // Regression (random run 63): a task that is ordered between the restart and
 // its announcement runs on the new incarnation and must not be started
 // elsewhere.
