--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -27,6 +27,14 @@
   RC_ASSERT(model.open_jobs() == 0U);
 }
 
+TEST(host_model, a_refused_job_with_a_returned_task_does_not_run) {
+  for (uint64_t seed : {1106, 1148, 1703, 2078, 2705}) {
+    host_model model(seed, {.crashing_jobs = 0.1});
+    model.run(8'000, 8'000);
+    EXPECT_FALSE(model.violation()) << seed << ": " << *model.violation();
+  }
+}
+
 // Checks that the random runs reach the faults and the reactions to them.
 TEST(host_model, reaches_every_kind_of_event) {
   host_model_counts sum;
