A job is refused only when its owners confirm that nothing of it has started

Cause, hypothesis 1: an owner's report that nothing was started is true when it is written, but a task that the same owner had returned can be on its way to it again. The entry host took the report for the whole job. It came with returned tasks; before, all tasks of a pool were in one request. With several pools the entry host could not tell at all and answered 504.

Owners ignore what arrives after a release, so that what they say in its confirmation is final. A confirmation now carries the owner's token and whether tasks of the submission were there and none had been ordered. An entry host releases a job that can't be done in time and answers once all owners have confirmed: 503 if all say so under the tokens that got the tasks, 504 otherwise, after 250 ms at most. This also tells the truth to callers whose jobs were spread over several pools. No further messages: unfinished jobs are released with a confirmation already.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -351,20 +351,21 @@
                          const wire::envelope& envelope,
                          host_outbox& out) {
   const wire::run_release& release = envelope.run_release();
+  wire::envelope reply;
+  wire::run_released& released = *reply.mutable_run_released();
+  released.set_submission(release.submission());
+  released.set_pool(release.pool());
   for (auto& [name, pool] : state.pools) {
     bool meant = release.pool().empty() || release.pool() == name;
     if (pool.token == 0 || !meant)
       continue;
     pool_output done;
-    release_runs(pool, release.submission(), now, done);
+    released.set_unstarted(release_runs(pool, release.submission(), now, done));
+    released.set_token(pool.token);
     apply_output(state, pool, std::move(done), now, out);
   }
-  if (!release.confirm())
-    return;
-  wire::envelope reply;
-  reply.mutable_run_released()->set_submission(release.submission());
-  reply.mutable_run_released()->set_pool(release.pool());
-  send(state, envelope.from(), std::move(reply), out);
+  if (release.confirm())
+    send(state, envelope.from(), std::move(reply), out);
 }
 
 void receive(host_entry& state,
@@ -383,7 +384,7 @@
       receive_run_release(state, now, envelope, out);
       break;
     case wire::envelope::kRunReleased:
-      receive_run_released(state.callers, envelope.run_released());
+      receive_run_released(state.callers, envelope.run_released(), now, taken);
       break;
     case wire::envelope::kRunResults:
       receive_run_results(state.callers, envelope.from(),
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -451,6 +451,8 @@
                          uint64_t exchange,
                          unix_ms now,
                          intake_output& out) {
+  if (leave_refusal(intake, exchange))
+    return;
   for (auto& [submission, job] : intake.jobs) {
     auto found =
         std::find(job.exchanges.begin(), job.exchanges.end(), exchange);
@@ -612,10 +614,7 @@
       end_job(intake, result.submission(), caller_outcome::failed,
               "upstreams_crashed", now, out);
     } else {
-      end_job(intake, result.submission(),
-              job.started || job.pools.size() > 1 ? caller_outcome::given_up
-                                                  : caller_outcome::refused,
-              "no_time_left", now, out);
+      begin_refusal(intake, result.submission(), now, out);
     }
   }
   for (uint64_t submission : updated_jobs) {
@@ -645,6 +644,7 @@
 void tick_intake(intake& intake, unix_ms now, intake_output& out) {
   expire_losses(intake.losses, now);
   tick_releases(intake, now, out);
+  tick_refusals(intake, now, out);
   std::vector<uint64_t> expired;
   for (auto& [submission, job] : intake.jobs) {
     if (now >= std::min(job.deadline_ms, intake.answer_by_ms))
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -142,10 +142,21 @@
 // owner may still start the tasks.
 struct pending_release {
   std::string host;
+  // The token under which the owner got the tasks.
+  uint64_t token = 0;
   unix_ms resend_ms = 0;
   unix_ms expires_ms = 0;
 };
 
+// A job that is over because it can't be done in time. Its caller is told that
+// it has not run once all owners that got its tasks have confirmed that, and
+// otherwise that it may have run.
+struct pending_refusal {
+  intake_job job;
+  // Answered without the missing confirmations at this time.
+  unix_ms answer_by_ms = 0;
+};
+
 using grant_list = google::protobuf::RepeatedPtrField<wire::owner_grant>;
 
 // The last reported state of one pool.
@@ -190,6 +201,8 @@
   std::map<uint64_t, intake_job> jobs;
   // By submission and name of the pool.
   std::map<std::pair<uint64_t, std::string>, pending_release> releases;
+  // By submission.
+  std::map<uint64_t, pending_refusal> refusals;
   // Runs that were lost, as reported by owners; given to the owners that the
   // tasks are sent to next.
   loss_history losses;
@@ -240,8 +253,11 @@
                          unix_ms now,
                          intake_output& out);
 
-// Takes the confirmation of a release.
-void receive_run_released(intake& intake, const wire::run_released& released);
+// Takes the confirmation of a release, and answers the job that waited for it.
+void receive_run_released(intake& intake,
+                          const wire::run_released& released,
+                          unix_ms now,
+                          intake_output& out);
 
 // Ends jobs whose deadline has passed and sends what is due again. To be called
 // every few tens of milliseconds.
--- a/cyclamenwood/intake_end.cc
+++ b/cyclamenwood/intake_end.cc
@@ -5,6 +5,11 @@
 // may then be sent to other owners. A release of tasks that have not ended is
 // therefore sent until its owner confirms it: one that was lost would leave a
 // task in a queue or running, beside its run for the next submission.
+//
+// An owner's report that it has started nothing may be older than the last
+// request that it was sent. What it says in its confirmation is final, since it
+// ignores requests that arrive after the release. A caller is therefore told
+// that its job has not run only after the confirmations of all owners.
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -23,6 +28,10 @@
 // jobs.
 constexpr int64_t RELEASE_EXPIRY_MS = 2 * PEER_TIMEOUT_MS;
 
+// Callers wait this long at most to learn whether their job has run: a release,
+// a repeated one, and their confirmations.
+constexpr int64_t REFUSAL_CONFIRMATION_MS = 250;
+
 void send_release(const std::string& host,
                   uint64_t submission,
                   const std::string& pool,
@@ -64,6 +73,36 @@
   return returns;
 }
 
+void finish_job(const intake& intake,
+                const intake_job& job,
+                caller_outcome outcome,
+                std::string_view reason,
+                int64_t wait_ms,
+                unix_ms now,
+                intake_output& out) {
+  answer_job(out, job, outcome,
+             outcome == caller_outcome::refused
+                 ? std::max(wait_ms, MIN_RETRY_AFTER_MS)
+                 : 0,
+             now);
+  out.notes.push_back(
+      {"job_ended",
+       fmt::format("job={} queue={} outcome={} reason={} ms={} wait_ms={} "
+                   "tasks={} cpu_milli={} estimate_ms={} returns={} owners={} "
+                   "version={}",
+                   job.id, job.queue.name, to_string(outcome), reason,
+                   now - job.arrived_ms, job.deadline_ms - job.arrived_ms,
+                   job.job.steps.front().count,
+                   job.job.steps.front().need.cpu_milli(),
+                   critical_path_ms(job.job), count_returns(job),
+                   describe_owners(job), intake.routes->version)});
+}
+
+bool awaits_confirmation(const intake& intake, uint64_t submission) {
+  auto next = intake.releases.lower_bound({submission, std::string()});
+  return next != intake.releases.end() && next->first.first == submission;
+}
+
 }  // namespace
 
 int64_t critical_path_ms(const job_spec& job) {
@@ -95,8 +134,8 @@
     const std::string& host = grant->second.host();
     send_release(host, submission, name, unfinished, out);
     if (unfinished)
-      intake.releases[{submission, name}] = {host, now + RELEASE_RESEND_MS,
-                                             now + RELEASE_EXPIRY_MS};
+      intake.releases[{submission, name}] = {
+          host, token, now + RELEASE_RESEND_MS, now + RELEASE_EXPIRY_MS};
   }
   intake.by_id.erase(job.id);
   intake.jobs.erase(found);
@@ -109,26 +148,46 @@
              unix_ms now,
              intake_output& out,
              int64_t wait_ms) {
-  const intake_job& job = intake.jobs.at(submission);
-  answer_job(out, job, outcome,
-             outcome == caller_outcome::refused
-                 ? std::max(wait_ms, MIN_RETRY_AFTER_MS)
-                 : 0,
-             now);
-  out.notes.push_back(
-      {"job_ended",
-       fmt::format("job={} queue={} outcome={} reason={} ms={} wait_ms={} "
-                   "tasks={} cpu_milli={} estimate_ms={} returns={} owners={} "
-                   "version={}",
-                   job.id, job.queue.name, to_string(outcome), reason,
-                   now - job.arrived_ms, job.deadline_ms - job.arrived_ms,
-                   job.job.steps.front().count,
-                   job.job.steps.front().need.cpu_milli(),
-                   critical_path_ms(job.job), count_returns(job),
-                   describe_owners(job), intake.routes->version)});
+  finish_job(intake, intake.jobs.at(submission), outcome, reason, wait_ms, now,
+             out);
+  remove_job(intake, submission, now, out);
+}
+
+void begin_refusal(intake& intake,
+                   uint64_t submission,
+                   unix_ms now,
+                   intake_output& out) {
+  if (intake.jobs.at(submission).started) {
+    end_job(intake, submission, caller_outcome::given_up, "no_time_left", now,
+            out);
+    return;
+  }
+  pending_refusal& added = intake.refusals[submission];
+  added.job = intake.jobs.at(submission);
+  added.answer_by_ms = std::min({now + REFUSAL_CONFIRMATION_MS,
+                                 added.job.deadline_ms, intake.answer_by_ms});
   remove_job(intake, submission, now, out);
 }
 
+bool leave_refusal(intake& intake, uint64_t exchange) {
+  for (auto& [submission, refusal] : intake.refusals) {
+    if (std::erase(refusal.job.exchanges, exchange) > 0)
+      return true;
+  }
+  return false;
+}
+
+void tick_refusals(intake& intake, unix_ms now, intake_output& out) {
+  std::erase_if(intake.refusals, [&](const auto& item) {
+    const pending_refusal& refusal = item.second;
+    if (now < refusal.answer_by_ms)
+      return false;
+    finish_job(intake, refusal.job, caller_outcome::unknown, "unconfirmed", 0,
+               now, out);
+    return true;
+  });
+}
+
 void tick_releases(intake& intake, unix_ms now, intake_output& out) {
   std::erase_if(intake.releases, [now](const auto& item) {
     return now >= item.second.expires_ms;
@@ -141,8 +200,25 @@
   }
 }
 
-void receive_run_released(intake& intake, const wire::run_released& released) {
-  intake.releases.erase({released.submission(), released.pool()});
+void receive_run_released(intake& intake,
+                          const wire::run_released& released,
+                          unix_ms now,
+                          intake_output& out) {
+  uint64_t submission = released.submission();
+  auto release = intake.releases.find({submission, released.pool()});
+  if (release == intake.releases.end())
+    return;
+  bool unstarted =
+      released.unstarted() && released.token() == release->second.token;
+  intake.releases.erase(release);
+  auto refusal = intake.refusals.find(submission);
+  if (refusal == intake.refusals.end() ||
+      (unstarted && awaits_confirmation(intake, submission)))
+    return;
+  finish_job(intake, refusal->second.job,
+             unstarted ? caller_outcome::refused : caller_outcome::given_up,
+             "no_time_left", 0, now, out);
+  intake.refusals.erase(refusal);
 }
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/intake_internal.h
+++ b/cyclamenwood/intake_internal.h
@@ -29,6 +29,19 @@
              intake_output& out,
              int64_t wait_ms = 0);
 
+// Ends a job that can't be done in time: it is refused if its owners confirm
+// that nothing of it was started.
+void begin_refusal(intake& intake,
+                   uint64_t submission,
+                   unix_ms now,
+                   intake_output& out);
+
+// Removes a caller of a job that is to be refused. Returns whether it was one.
+bool leave_refusal(intake& intake, uint64_t exchange);
+
+// Answers the jobs whose owners did not confirm in time.
+void tick_refusals(intake& intake, unix_ms now, intake_output& out);
+
 // Removes a job and lets the owners of its pools release its runs.
 void remove_job(intake& intake,
                 uint64_t submission,
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -173,6 +173,15 @@
 // Identifies a request: (submission, step).
 using pool_job_id = std::pair<uint64_t, uint32_t>;
 
+// A submission that was released. A request that arrives after its release was
+// overtaken by it and must not start anything.
+struct released_submission {
+  unix_ms released_ms = 0;
+  // Its tasks were here when it was released first, and no start had been
+  // ordered for any of them.
+  bool unstarted = false;
+};
+
 struct pool_peer {
   // The latest time of this process's clock that the peer is known to have
   // received. Unlike the time of arrival, it does not make a message look
@@ -225,9 +234,7 @@
   // up an attempt of a job.
   health_table health{{}, {3, 0.45}, {}};
   std::map<pool_job_id, pool_job> jobs;
-  // Released submissions and the times of their release. A request that arrives
-  // after its release was overtaken by it and must not start anything.
-  std::map<uint64_t, unix_ms> released;
+  std::map<uint64_t, released_submission> released;
   std::map<std::string, pool_peer> peers;
   std::set<queue_key> queue;
   // By service.
@@ -285,8 +292,9 @@
                   unix_ms now,
                   pool_output& out);
 // Stops the runs of a submission and drops its jobs. Requests of the submission
-// that arrive later are ignored.
-void release_runs(pool& pool,
+// that arrive later are ignored. Returns whether it is certain that no start
+// was ordered for it here; a repeated release gets the same result.
+bool release_runs(pool& pool,
                   uint64_t submission,
                   unix_ms now,
                   pool_output& out);
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -36,6 +36,15 @@
   *out.results.back().second.add_results() = std::move(result);
 }
 
+// Whether tasks of the submission are here and none of them may have run.
+bool is_unstarted(const pool& pool, uint64_t submission) {
+  auto first = pool.jobs.lower_bound({submission, 0});
+  auto last = pool.jobs.lower_bound({submission + 1, 0});
+  return first != last && std::none_of(first, last, [](const auto& item) {
+           return item.second.started;
+         });
+}
+
 // Stops the runs of the submission and removes it.
 void cancel_submission(pool& pool,
                        uint64_t submission,
@@ -270,12 +279,16 @@
     pool.jobs.erase(found);
 }
 
-void release_runs(pool& pool,
+bool release_runs(pool& pool,
                   uint64_t submission,
                   unix_ms now,
                   pool_output& out) {
-  pool.released[submission] = now;
+  auto [found, is_first] = pool.released.try_emplace(submission);
+  found->second.released_ms = now;
+  if (is_first)
+    found->second.unstarted = is_unstarted(pool, submission);
   cancel_submission(pool, submission, now, out);
+  return found->second.unstarted;
 }
 
 bool update_peer(pool& pool,
@@ -324,7 +337,7 @@
 void expire_released(pool& pool, unix_ms now) {
   // Requests that are older than this are ignored (see `update_peer`).
   std::erase_if(pool.released, [now](const auto& item) {
-    return now - item.second > 2 * PEER_TIMEOUT_MS;
+    return now - item.second.released_ms > 2 * PEER_TIMEOUT_MS;
   });
 }
 
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -99,6 +99,19 @@
     receive_run_results(state, "e1", results, now, out);
   }
 
+  // An owner confirms the release of a submission.
+  void confirm_release(uint64_t submission,
+                       bool unstarted,
+                       const std::string& pool = "kranj",
+                       uint64_t token = 1) {
+    wire::run_released released;
+    released.set_submission(submission);
+    released.set_pool(pool);
+    released.set_token(token);
+    released.set_unstarted(unstarted);
+    receive_run_released(state, released, now, out);
+  }
+
   // The owner of "kranj" returns task 0 and has no free capacity.
   void return_task(uint64_t submission) {
     wire::run_results results;
@@ -238,12 +251,58 @@
 
 TEST_F(intake_fixture, an_unstarted_job_is_refused_with_a_retry_time) {
   submit(1, "a", make_job(1, 100));
-  report(requests("e1")[0].submission(), 0, wire::RUN_EXPIRED, false);
+  uint64_t submission = requests("e1")[0].submission();
+  report(submission, 0, wire::RUN_EXPIRED, false);
+  EXPECT_TRUE(out.answers.empty());
+  confirm_release(submission, true);
   ASSERT_EQ(out.answers.size(), 1U);
   EXPECT_EQ(out.answers[0].outcome, caller_outcome::refused);
   EXPECT_GT(out.answers[0].retry_after_ms, 0);
 }
 
+TEST_F(intake_fixture, a_report_older_than_a_request_does_not_refuse_the_job) {
+  report_capacity("vic", 2, {0});
+  report_capacity("kranj", 1, {1000});
+  submit(1, "a", make_job(2, 100));
+  uint64_t submission = requests("e1").at(0).submission();
+  return_task(submission);
+  report(submission, 1, wire::RUN_EXPIRED, false);
+  EXPECT_TRUE(out.answers.empty());
+  // The returned task was sent there again and has been started.
+  confirm_release(submission, false);
+  ASSERT_EQ(out.answers.size(), 1U);
+  EXPECT_EQ(out.answers[0].outcome, caller_outcome::given_up);
+}
+
+TEST_F(intake_fixture, a_job_is_refused_when_all_its_owners_have_confirmed) {
+  submit(1, "a", make_job(6, 100));
+  uint64_t submission = requests("e1").at(0).submission();
+  report(submission, 0, wire::RUN_EXPIRED, false);
+  confirm_release(submission, true);
+  EXPECT_TRUE(out.answers.empty());
+  confirm_release(submission, true, "vic", 2);
+  ASSERT_EQ(out.answers.size(), 1U);
+  EXPECT_EQ(out.answers[0].outcome, caller_outcome::refused);
+}
+
+TEST_F(intake_fixture, a_confirmation_under_another_token_does_not_refuse) {
+  submit(1, "a", make_job(1, 100));
+  uint64_t submission = requests("e1").at(0).submission();
+  report(submission, 0, wire::RUN_EXPIRED, false);
+  confirm_release(submission, true, "kranj", 9);
+  ASSERT_EQ(out.answers.size(), 1U);
+  EXPECT_EQ(out.answers[0].outcome, caller_outcome::given_up);
+}
+
+TEST_F(intake_fixture, a_missing_confirmation_is_not_waited_for_long) {
+  submit(1, "a", make_job(1, 100));
+  report(requests("e1").at(0).submission(), 0, wire::RUN_EXPIRED, false);
+  now += 250;
+  tick_intake(state, now, out);
+  ASSERT_EQ(out.answers.size(), 1U);
+  EXPECT_EQ(out.answers[0].outcome, caller_outcome::unknown);
+}
+
 TEST_F(intake_fixture, the_callers_deadline_bounds_the_job) {
   submit(1, "a", make_job(1, 100), 2000);
   now += 1900;
@@ -281,10 +340,7 @@
   ASSERT_EQ(out.messages.size(), 1U);
   EXPECT_EQ(out.messages[0].first, "e1");
   EXPECT_EQ(out.messages[0].second.run_release().submission(), submission);
-  wire::run_released confirmed;
-  confirmed.set_submission(submission);
-  confirmed.set_pool("kranj");
-  receive_run_released(state, confirmed);
+  confirm_release(submission, false);
   out.messages.clear();
   tick_intake(state, now + 200, out);
   EXPECT_TRUE(out.messages.empty());
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -88,6 +88,22 @@
   EXPECT_EQ(upstream.starts(), 2U);
 }
 
+TEST_F(pool_fixture, a_release_tells_whether_a_start_was_ordered) {
+  add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  ask(request(2, "j2", 1));
+  EXPECT_FALSE(release_runs(state, 1, now, out));
+  EXPECT_TRUE(release_runs(state, 2, now, out));
+  // The first confirmation was lost.
+  EXPECT_FALSE(release_runs(state, 1, now, out));
+  EXPECT_TRUE(release_runs(state, 2, now, out));
+  // Its request was lost or is on its way.
+  EXPECT_FALSE(release_runs(state, 3, now, out));
+  flush();
+}
+
 TEST_F(pool_fixture, a_found_run_is_not_taken_for_smaller_than_it_is) {
   fake_upstream& upstream = add_upstream("u1");
   upstream.cpu_of = [](const std::string&) { return 2000; };
