A rejected start is stopped if an earlier order of it is unanswered

Cause: a rejection was taken for the end of the attempt. It speaks of the order that it answers; an earlier order of the same attempt may be carried out seconds later. It can happen without a change of capacity too, whenever an upstream is full or unhealthy at the second order. Such an attempt is now stopped before its task is queued again, as an attempt is whose starts all stay unanswered.

pool_fixture.a_rejected_task_is_not_started_by_its_unanswered_order failed before.

--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -249,6 +249,20 @@
   out.events.push_back({"upstream_unreachable", std::move(details)});
 }
 
+// The upstream did not carry out the order. An earlier order of the same
+// attempt that was not answered may still arrive there; it is barred by a stop.
+void start_rejected(pool& pool,
+                    leased_upstream& upstream,
+                    const run_order& order,
+                    run_end how,
+                    unix_ms now,
+                    pool_output& out) {
+  if (upstream.runs.at(order.task).unanswered_starts > 0)
+    stop_run(pool, upstream, order.task, now, out);
+  else
+    end_run(pool, upstream, order.task, how, out);
+}
+
 void start_replied(pool& pool,
                    leased_upstream& upstream,
                    const run_order& order,
@@ -281,14 +295,14 @@
       break;
     case order_outcome::no_room:
       upstream.backoff_until_ms = now + NO_CAPACITY_BACKOFF_MS;
-      end_run(pool, upstream, order.task, run_end::lease_expired, out);
+      start_rejected(pool, upstream, order, run_end::lease_expired, now, out);
       break;
     case order_outcome::unhealthy:
       upstream.backoff_until_ms = now + BACKOFF_MS;
-      end_run(pool, upstream, order.task, run_end::lease_expired, out);
+      start_rejected(pool, upstream, order, run_end::lease_expired, now, out);
       break;
     default:
-      end_run(pool, upstream, order.task, run_end::failed, out);
+      start_rejected(pool, upstream, order, run_end::failed, now, out);
       break;
   }
 }
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 
+#include "cyclamenwood/pool_internal.h"
+
 namespace cyclamenwood {
 namespace {
 
@@ -17,6 +19,13 @@
 constexpr uint32_t UPSTREAM_CPU_MILLI = 2000;
 // A task that has crashed three upstreams may be started twice more.
 constexpr int MAX_CRASHES_OF_A_TASK = 5;
+// Interval of the announcements of an upstream.
+constexpr int64_t ANNOUNCEMENT_INTERVAL_MS = 250;
+// A host that was suspended or restarted has heard of everything after this.
+constexpr int64_t CONTACT_MS = 1'000;
+// An owner knows of a smaller capacity after this time: two announcements, of
+// which the first is late, and the news of the replica.
+constexpr int64_t CAPACITY_KNOWN_MS = 1'500;
 constexpr uint64_t INCARNATION_STEP = 1'000'000;
 
 result<route_table> read_one_route(std::string_view /*content*/) {
@@ -53,6 +62,8 @@
                               UPSTREAM_CPU_MILLI, between(0, 1'000'000),
                               between(30, 500));
   }
+  if (options_.changing_capacity)
+    replicas_ = {{"replica-1", {}, {}}, {"replica-2", {}, {}}};
   if (options_.crashing_jobs <= 0)
     return;
   for (fake_upstream& upstream : upstreams_) {
@@ -135,6 +146,42 @@
   }
 }
 
+void host_model::change_capacities() {
+  for (fake_upstream& upstream : upstreams_) {
+    uint32_t former = upstream.info().capacity().cpu_milli();
+    uint32_t next = former;
+    if (!faulty_)
+      next = UPSTREAM_CPU_MILLI;
+    else if (chance(0.004))
+      next = static_cast<uint32_t>(between(0, 2)) * TASK_CPU_MILLI;
+    if (next == former)
+      continue;
+    past_capacities_[upstream.info().id()][now_] = former;
+    upstream.set_capacity(next);
+  }
+}
+
+void host_model::announce_upstreams() {
+  for (fake_upstream& upstream : upstreams_) {
+    const std::string& id = upstream.info().id();
+    if (now_ % ANNOUNCEMENT_INTERVAL_MS != 0)
+      continue;
+    if (chance(0.3))
+      announces_to_[id] = between(0, 1);
+    upstream.set_capacity(upstream.info().capacity().cpu_milli());
+    int64_t delay_ms = faulty_ && chance(0.2) ? between(0, 600) : 0;
+    announcements_.push_back(
+        {now_ + delay_ms, announces_to_[id], upstream.info()});
+  }
+  std::erase_if(announcements_, [this](const delayed_announcement& sent) {
+    if (sent.at_ms > now_)
+      return false;
+    receive_announcement(replicas_[sent.replica].directory, sent.upstream,
+                         now_);
+    return true;
+  });
+}
+
 void host_model::submit(caller_job& job) {
   std::vector<std::string> up;
   for (const auto& [name, host] : hosts_) {
@@ -348,12 +395,37 @@
   }
 }
 
-void host_model::send_news(const std::string& to) {
+wire::envelope host_model::make_news(const std::string& from) const {
   wire::envelope envelope;
-  envelope.set_from("control");
+  envelope.set_from(from);
   wire::control_news& news = *envelope.mutable_control_news();
   news.mutable_latest()->set_version(1);
   *news.mutable_grants() = control_.table.grants();
+  return envelope;
+}
+
+void host_model::send_replica_news(replica& from, const std::string& to) {
+  const host& receiver = hosts_[to];
+  if (!receiver.state)
+    return;
+  auto& [incarnation, change] = from.sent[to];
+  if (incarnation != receiver.state->incarnation)
+    change = 0;
+  incarnation = receiver.state->incarnation;
+  wire::envelope envelope = make_news(from.name);
+  add_changes(from.directory, receiver.zone, change,
+              *envelope.mutable_control_news());
+  change = from.directory.last_change;
+  messages_.push_back({now_ + between(0, 4) * STEP_MS, to, envelope});
+}
+
+void host_model::send_news(const std::string& to) {
+  for (replica& replica : replicas_)
+    send_replica_news(replica, to);
+  if (!replicas_.empty())
+    return;
+  wire::envelope envelope = make_news("control");
+  wire::control_news& news = *envelope.mutable_control_news();
   // A replica does not know all upstreams at all times.
   for (const fake_upstream& upstream : upstreams_) {
     bool known_to_replica = !faulty_ || chance(0.5);
@@ -391,8 +463,41 @@
   for (const auto& [name, host] : hosts_) {
     if (!host.state)
       continue;
-    for (const auto& [pool_name, pool] : host.state->pools)
+    for (const auto& [pool_name, pool] : host.state->pools) {
       check_capacity(pool);
+      if (options_.changing_capacity)
+        check_known_capacity(host, pool);
+    }
+  }
+}
+
+uint32_t host_model::recent_capacity(const std::string& id) const {
+  uint32_t largest = 0;
+  for (const fake_upstream& upstream : upstreams_) {
+    if (upstream.info().id() == id)
+      largest = upstream.info().capacity().cpu_milli();
+  }
+  auto past = past_capacities_.find(id);
+  if (past == past_capacities_.end())
+    return largest;
+  auto next = past->second.upper_bound(now_ - CAPACITY_KNOWN_MS);
+  for (; next != past->second.end(); ++next)
+    largest = std::max(largest, next->second);
+  return largest;
+}
+
+// An owner that is in contact places tasks for no more than the capacity that
+// the upstream has or has had a moment ago.
+void host_model::check_known_capacity(const host& host, const pool& pool) {
+  unix_ms calm_since_ms =
+      std::max(host.suspended_until_ms, host.restart_at_ms) + CONTACT_MS;
+  if (pool.token == 0 || now_ < calm_since_ms)
+    return;
+  for (const auto& [id, upstream] : pool.upstreams) {
+    uint32_t known = upstream.info.capacity().cpu_milli();
+    if (may_take_work(upstream, now_) && known > recent_capacity(id))
+      fail(fmt::format("pool {} takes upstream {} for one of {}", pool.name, id,
+                       known));
   }
 }
 
@@ -438,6 +543,10 @@
   now_ += STEP_MS;
   if (faulty_)
     inject_faults();
+  if (options_.changing_capacity) {
+    change_capacities();
+    announce_upstreams();
+  }
   submit_calls();
   deliver();
   for (auto& [name, host] : hosts_)
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <vector>
 
+#include "cyclamenwood/directory.h"
 #include "cyclamenwood/host_entry.h"
 #include "cyclamenwood/owner_policy.h"
 #include "cyclamenwood/testing/fake_upstream.h"
@@ -41,6 +42,9 @@
 struct host_model_options {
   // The share of jobs whose first task crashes each upstream that starts it.
   double crashing_jobs = 0;
+  // Upstreams change their capacity as they run, and announce it to one of two
+  // replicas. Without this, hosts hear of all upstreams from one source.
+  bool changing_capacity = false;
 };
 
 class host_model {
@@ -83,6 +87,19 @@
     bool refused = false;
     bool ran = false;
   };
+  // A replica, to which upstreams announce themselves.
+  struct replica {
+    std::string name;
+    upstream_directory directory;
+    // What each host was sent last: its incarnation, and the number of the
+    // directory's change.
+    std::map<std::string, std::pair<uint64_t, uint64_t>> sent;
+  };
+  struct delayed_announcement {
+    unix_ms at_ms = 0;
+    size_t replica = 0;
+    wire::upstream upstream;
+  };
   struct delayed_message {
     unix_ms at_ms = 0;
     std::string to;
@@ -101,6 +118,8 @@
   int64_t between(int64_t low, int64_t high);
   void step();
   void inject_faults();
+  void change_capacities();
+  void announce_upstreams();
   void submit_calls();
   void deliver();
   void deliver_order(const delayed_order& delayed);
@@ -113,12 +132,17 @@
   void execute(host& from, const log_event& note);
   void grant_owners();
   void send_news(const std::string& to);
+  void send_replica_news(replica& from, const std::string& to);
+  wire::envelope make_news(const std::string& from) const;
   void start_host(host& host);
   void crash(host& host);
   void submit(caller_job& job);
   void check();
   void check_capacity(const pool& pool);
   void check_capacity();
+  // The largest capacity that the upstream has had lately.
+  uint32_t recent_capacity(const std::string& id) const;
+  void check_known_capacity(const host& host, const pool& pool);
   void check_crashes();
   void fail(const std::string& what);
   fake_upstream* find_upstream(const std::string& id);
@@ -132,6 +156,12 @@
   std::map<std::string, host> hosts_;
   std::vector<fake_upstream> upstreams_;
   std::set<std::string> unreachable_upstreams_;
+  std::vector<replica> replicas_;
+  std::vector<delayed_announcement> announcements_;
+  // The replica that each upstream announces itself to, by id.
+  std::map<std::string, size_t> announces_to_;
+  // When each capacity of an upstream ended, by id.
+  std::map<std::string, std::map<unix_ms, uint32_t>> past_capacities_;
   std::vector<delayed_message> messages_;
   std::vector<delayed_order> orders_;
   std::vector<caller_job> jobs_;
--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -27,6 +27,16 @@
   RC_ASSERT(model.open_jobs() == 0U);
 }
 
+RC_GTEST_PROP(host_model,
+              a_capacity_that_was_lost_is_not_used,
+              (uint64_t seed)) {
+  host_model model(seed, {.changing_capacity = true});
+  model.run(8'000, 8'000);
+  if (model.violation())
+    RC_FAIL(*model.violation());
+  RC_ASSERT(model.open_jobs() == 0U);
+}
+
 TEST(host_model, a_refused_job_with_a_returned_task_does_not_run) {
   for (uint64_t seed : {1106, 1148, 1703, 2078, 2705}) {
     host_model model(seed, {.crashing_jobs = 0.1});
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -396,6 +396,26 @@
   EXPECT_EQ(first.carry_out(late, now).outcome, order_outcome::stale_attempt);
 }
 
+TEST_F(pool_fixture, a_rejected_task_is_not_started_by_its_unanswered_order) {
+  fake_upstream& first = add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  drop_starts = 1;
+  ask(request(1, "j1", 1));
+  run_order late;
+  late.kind = order_kind::start;
+  late.token = 1;
+  late.task = "j1.0.0.0";
+  late.attempt = 1;
+  late.lease_deadline_ms = now + 600'000;
+  // The start is sent again, and there is no room for it.
+  first.set_capacity(0);
+  run_until(now + 200);
+  ASSERT_EQ(first.rejected_no_room(), 1U);
+  first.set_capacity(1000);
+  EXPECT_EQ(first.carry_out(late, now).outcome, order_outcome::stale_attempt);
+}
+
 // The stop was acknowledged only by the previous incarnation. The delayed start
 // must not run on the new one beside the next attempt.
 TEST_F(pool_fixture, a_stop_acknowledged_by_a_past_incarnation_is_sent_again) {
