An order that a silent upstream never confirmed is no loss of its task

The tasks then waited for upstreams of their own, and each loss was told to every neighbour over the same links.

A run that the upstream has never confirmed now counts only with better evidence than silence: a refused connection, a later incarnation, another upstream in its place.

pool_losses.a_task_that_did_not_reach_an_upstream_was_not_lost_there failed before.

--- a/cyclamenwood/pool_losses.cc
+++ b/cyclamenwood/pool_losses.cc
@@ -21,11 +21,20 @@
                                    : upstream.info.incarnation();
 }
 
+// Whether the upstream has confirmed that it had the run.
+bool has_arrived(const leased_run& run) {
+  return run.started_ms != 0 || run.discovered_ms != 0;
+}
+
 // Whether the run may have been in progress when its upstream went away, and
-// that was not planned.
+// that was not planned. Of orders that a silent upstream has not answered it is
+// more likely that they did not reach it.
 bool counts_as_loss(const leased_run& run, loss_evidence evidence) {
-  return evidence != loss_evidence::left &&
-         (run.past_incarnation != 0 || !is_stopped(run));
+  if (evidence == loss_evidence::left)
+    return false;
+  if (evidence == loss_evidence::silent && !has_arrived(run))
+    return false;
+  return run.past_incarnation != 0 || !is_stopped(run);
 }
 
 wire::run_loss describe_loss(const leased_upstream& upstream,
--- a/cyclamenwood/testing/pool_losses_test.cc
+++ b/cyclamenwood/testing/pool_losses_test.cc
@@ -60,6 +60,18 @@
   EXPECT_EQ(count(wire::RUN_CRASHED), 1U);
 }
 
+TEST_F(pool_losses, a_task_that_did_not_reach_an_upstream_was_not_lost_there) {
+  add_fragile_upstreams(1, "");
+  own(1);
+  run_until(now + 100);
+  unreachable.insert("u1");
+  ask(patient_request("j", 1));
+  ASSERT_TRUE(state.placed.contains("j.0.0.0"));
+  run_until(now + 2'000);
+  EXPECT_FALSE(state.placed.contains("j.0.0.0"));
+  EXPECT_TRUE(state.losses.tasks.empty());
+}
+
 // Upstreams that had announced their end are no evidence against a task.
 TEST_F(pool_losses, a_task_lost_with_leaving_upstreams_is_not_given_up) {
   add_fragile_upstreams(4, "");
