A stop that the next incarnation acknowledges hides no crash

The crashed upstream was back under its id just before its lease was over and acknowledged the stop of the run, so that the owner took the run for stopped before the crash.

Once a connection was refused, and until a list arrives, an acknowledgement tells nothing of the process before.

--- a/cyclamenwood/pool_losses.cc
+++ b/cyclamenwood/pool_losses.cc
@@ -28,13 +28,22 @@
 
 // Whether the run may have been in progress when its upstream went away, and
 // that was not planned. Of orders that a silent upstream has not answered it is
-// more likely that they did not reach it.
+// more likely that they did not reach it. A stop that was acknowledged after
+// connections had been refused may have reached the next incarnation only.
 bool counts_as_loss(const leased_run& run, loss_evidence evidence) {
-  if (evidence == loss_evidence::left)
-    return false;
-  if (evidence == loss_evidence::silent && !has_arrived(run))
-    return false;
-  return run.past_incarnation != 0 || !is_stopped(run);
+  switch (evidence) {
+    case loss_evidence::left:
+      return false;
+    case loss_evidence::refused:
+      return true;
+    case loss_evidence::silent:
+      return run.past_incarnation != 0 ||
+             (has_arrived(run) && !is_stopped(run));
+    case loss_evidence::restarted:
+    case loss_evidence::replaced:
+      return run.past_incarnation != 0 || !is_stopped(run);
+  }
+  return true;
 }
 
 wire::run_loss describe_loss(const leased_upstream& upstream,
--- a/cyclamenwood/testing/pool_losses_test.cc
+++ b/cyclamenwood/testing/pool_losses_test.cc
@@ -123,6 +123,27 @@
   EXPECT_LE(state.losses.tasks.size(), 2U);
 }
 
+TEST_F(pool_losses, a_stop_answered_after_the_restart_hides_no_crash) {
+  add_fragile_upstreams(1, "j.0.0.0");
+  own(1);
+  run_until(now + 100);
+  ask(patient_request("j", 1));
+  run_until(now + 50);
+  ASSERT_EQ(crashes(), 1U);
+  unreachable.insert("u1");
+  run_until(now + 50);
+  // The upstream has started again under its id. Only the stop reaches it.
+  order_reply accepted;
+  accepted.outcome = order_outcome::accepted;
+  for (const auto& [id, order] : std::map(state.orders)) {
+    if (order.kind == order_kind::stop)
+      order_replied(state, id, accepted, now, out);
+  }
+  run_until(now + 1'500);
+  EXPECT_FALSE(state.placed.contains("j.0.0.0"));
+  EXPECT_EQ(state.losses.tasks.size(), 1U);
+}
+
 TEST_F(pool_losses, a_restart_under_the_same_id_counts_as_a_crash) {
   add_fragile_upstreams(8, "j.0.0.0");
   for (fake_upstream& upstream : upstreams)
