--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -144,6 +144,7 @@
   std::string host;
   // The token under which the owner got the tasks.
   uint64_t token = 0;
+  uint32_t resends = 0;
   unix_ms resend_ms = 0;
   unix_ms expires_ms = 0;
 };
--- a/cyclamenwood/intake_end.cc
+++ b/cyclamenwood/intake_end.cc
@@ -22,7 +22,8 @@
 namespace cyclamenwood {
 namespace {
 
-// Several times the time that a confirmation takes within a region.
+// Several times the time that a confirmation takes within a region. It doubles
+// with each repetition.
 constexpr int64_t RELEASE_RESEND_MS = 100;
 // An owner that receives nothing from this host for this long has dropped its
 // jobs.
@@ -135,7 +136,7 @@
     send_release(host, submission, name, unfinished, out);
     if (unfinished)
       intake.releases[{submission, name}] = {
-          host, token, now + RELEASE_RESEND_MS, now + RELEASE_EXPIRY_MS};
+          host, token, 0, now + RELEASE_RESEND_MS, now + RELEASE_EXPIRY_MS};
   }
   intake.by_id.erase(job.id);
   intake.jobs.erase(found);
@@ -195,7 +196,8 @@
   for (auto& [id, release] : intake.releases) {
     if (now < release.resend_ms)
       continue;
-    release.resend_ms = now + RELEASE_RESEND_MS;
+    ++release.resends;
+    release.resend_ms = now + (RELEASE_RESEND_MS << release.resends);
     send_release(release.host, id.first, id.second, true, out);
   }
 }
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -346,6 +346,15 @@
   EXPECT_TRUE(out.messages.empty());
 }
 
+TEST_F(intake_fixture, a_release_is_repeated_ever_more_rarely) {
+  submit(1, "a", make_job(1, 100));
+  caller_disconnected(state, 1, now, out);
+  out.messages.clear();
+  for (unix_ms end = now + 2'000; now < end; now += 20)
+    tick_intake(state, now, out);
+  EXPECT_EQ(out.messages.size(), 3U);
+}
+
 TEST_F(intake_fixture, unsupported_jobs_are_refused_and_never_sent) {
   job_spec stored = make_job(1, 100);
   stored.best_effort = false;
