Owners log a change of an upstream's capacity

On-call staff could not see from the logs that an upstream had shrunk, when its owner heard of it, and what ran there then. upstream_capacity_changed names the sequence of the announcement, the capacity before and after, what is used and the number of runs.

--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -198,6 +198,21 @@
   }
 }
 
+void log_capacity_change(const leased_upstream& known,
+                         const wire::upstream& announced,
+                         pool_output& out) {
+  uint32_t former = known.info.capacity().cpu_milli();
+  uint32_t next = announced.capacity().cpu_milli();
+  if (former == next)
+    return;
+  out.events.push_back(
+      {"upstream_capacity_changed",
+       fmt::format("upstream={} sequence={} former_cpu_milli={} cpu_milli={} "
+                   "used_cpu_milli={} runs={}",
+                   announced.id(), announced.sequence(), former, next,
+                   known.used.cpu_milli, known.runs.size())});
+}
+
 // ---- Replies ----------------------------------------------------------------
 
 leased_run* find_run(leased_upstream& upstream, const run_order& order) {
@@ -608,6 +623,8 @@
   pool.placement_due = true;
   if (restarted)
     begin_new_incarnation(known, announced.incarnation(), now, out);
+  else if (!added)
+    log_capacity_change(known, announced, out);
   known.info = announced;
   if (is_leaving)
     known.info.set_state(wire::UPSTREAM_LEAVING);
