--- a/cyclamenwood/directory.h
+++ b/cyclamenwood/directory.h
@@ -3,9 +3,10 @@
 // Announcements are ordered by the upstream's incarnation, then by its
 // sequence; older ones are ignored. Readers, which are entry hosts, get the
 // changes since their last position. Renewals that change nothing are not
-// passed on, since an upstream's owner is in direct contact with it. An upstream
-// may announce itself to several replicas in turn; each announcement takes the
-// next sequence, so that a gap shows that others have arrived elsewhere.
+// passed on, since an upstream's owner is in direct contact with it. An
+// upstream may announce itself to several replicas in turn; each announcement
+// takes the next sequence, so that a gap shows that others have arrived
+// elsewhere.
 #ifndef CYCLAMENWOOD_DIRECTORY_H_
 #define CYCLAMENWOOD_DIRECTORY_H_
 
