A former owner's state does not replace its successor's

The class of fault of the changing capacities (the last to arrive taken for the latest), looked for elsewhere: an entry host took the state of a pool from whichever owner reported last. A former owner that had been suspended and answers an old hello took the place of its successor, whose state, upstreams and counts of messages were dropped; all open tasks were requested from the successor again, twice, and each such job could no longer be refused as not run. States under a lower token than the known one are now ignored.

intake_fixture.a_former_owners_state_does_not_replace_its_successors failed before (three requests where one is needed).

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -511,6 +511,9 @@
                         unix_ms now,
                         intake_output& out) {
   pool_view& pool = intake.pools[state.pool()];
+  // A former owner that was suspended may still answer.
+  if (state.token() < pool.token)
+    return;
   bool is_new_owner = pool.token != state.token();
   if (is_new_owner)
     pool = make_successor_view(std::move(pool), now);
--- a/cyclamenwood/testing/intake_test.cc
+++ b/cyclamenwood/testing/intake_test.cc
@@ -180,6 +180,18 @@
   EXPECT_EQ(out.answers.at(0).outcome, caller_outcome::given_up);
 }
 
+TEST_F(intake_fixture, a_former_owners_state_does_not_replace_its_successors) {
+  submit(1, "a", make_job(2, 100));
+  grant("kranj", "e3", 7);
+  report_capacity("kranj", 7, {4000});
+  ASSERT_EQ(requests("e3").size(), 1U);
+  // The former owner was suspended and answers an old hello.
+  report_capacity("kranj", 1, {4000});
+  report_capacity("kranj", 7, {4000});
+  EXPECT_EQ(requests("e3").size(), 1U);
+  EXPECT_EQ(state.pools.at("kranj").token, 7U);
+}
+
 TEST_F(intake_fixture, a_resent_request_is_marked_as_resumed) {
   submit(1, "a", make_job(1, 100));
   EXPECT_FALSE(requests("e1").at(0).resumed());
