No request is built for a group without tasks

New tasks of a step go out in two requests, those to be returned and those to be queued; one of the two is nearly always empty, and was built whole, with a copy of the job's payload, before that was seen. The tasks are collected first now. Same messages; 172 tests of the reducers pass. Processor time was not measured apart.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -226,8 +226,7 @@
   if (!intake.grants.contains(name))
     return;
   for (bool returnable : {true, false}) {
-    wire::run_request request = make_request(job, submission, index, name, now);
-    request.set_returnable(returnable);
+    std::vector<uint32_t> tasks;
     for (uint32_t task = 0; task < job.steps[index].tasks.size(); ++task) {
       intake_task& state = job.steps[index].tasks[task];
       bool belongs = !state.ended && !state.sent && state.pool == name &&
@@ -235,10 +234,14 @@
       if (!belongs)
         continue;
       state.sent = true;
-      request.add_tasks(task);
+      tasks.push_back(task);
     }
-    if (!request.tasks().empty())
-      send_request(intake, job, std::move(request), now, out);
+    if (tasks.empty())
+      continue;
+    wire::run_request request = make_request(job, submission, index, name, now);
+    request.set_returnable(returnable);
+    *request.mutable_tasks() = {tasks.begin(), tasks.end()};
+    send_request(intake, job, std::move(request), now, out);
   }
 }
 
