--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -49,6 +49,31 @@
 
 // ---- pool_runs.cc -----------------------------------------------------------
 
+// Each lease is renewed more than twice before it expires.
+constexpr int64_t RENEWAL_WAIT_MS = 300;
+// An unreachable upstream is removed after this time; upstreams announce
+// themselves at least this often.
+constexpr int64_t UPSTREAM_EXPIRY_MS = 20'000;
+
+// `wait_ms`: how long the upstream may delay its reply until a run ends.
+void send_renewal(pool& pool,
+                  leased_upstream& upstream,
+                  int64_t wait_ms,
+                  unix_ms now,
+                  pool_output& out);
+
+// The upstream was restarted under the same id, so that its end numbers and its
+// clock start again. A run may belong to the previous incarnation, which has
+// ended, or may have been ordered since the restart; only the next list tells
+// which. An unanswered start may yet be carried out by the new incarnation,
+// which did not receive any stop: the stop is sent to it again. It may have
+// another capacity and other labels than the last one, so that it gets no task
+// before it has announced itself.
+void begin_new_incarnation(leased_upstream& upstream,
+                           uint64_t incarnation,
+                           unix_ms now,
+                           pool_output& out);
+
 // Reserves the resources and orders the start of the task's next attempt.
 void start_run(pool& pool,
                leased_upstream& upstream,
