A released task is stopped, also after a second run of it was

A start that is carried out late may make a second run of a task beside the placed one; the owner finds it in a list and stops it. The end of that second run removed the record of where the task is placed. When its caller left, the owner no longer found the first run and did not stop it; a submission of the same job elsewhere would run beside it.

Only the end of the placed run removes the record now. pool_fixture.a_released_task_is_stopped_after_a_second_run_was failed before.

--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -184,7 +184,10 @@
   upstream.runs.erase(found);
   release_resources(upstream, run.need);
   upstream.isolated = upstream.isolated && !upstream.runs.empty();
-  pool.placed.erase(name);
+  // A second run of the task may have been found on another upstream.
+  auto placed = pool.placed.find(name);
+  if (placed != pool.placed.end() && placed->second == upstream.info.id())
+    pool.placed.erase(placed);
   pool.placement_due = true;
   task_run_settled(pool, run, upstream.info.id(), how, out);
 }
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -430,6 +430,35 @@
   EXPECT_LE(state.next_order - first_order, renewals + 10);
 }
 
+TEST_F(pool_fixture, a_released_task_is_stopped_after_a_second_run_was) {
+  fake_upstream& first = add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  first.set_run_ms(10'000);
+  wire::run_request long_job = request(1, "j1", 1);
+  long_job.set_estimate_ms(10'000);
+  long_job.set_remaining_ms(60'000);
+  ask(long_job);
+  fake_upstream& second = add_upstream("u2", 1000);
+  run_until(now + 50);
+  // A start that was ordered earlier arrives late.
+  run_order late;
+  late.kind = order_kind::start;
+  late.token = 1;
+  late.task = "j1.0.0.0";
+  late.attempt = 1;
+  late.lease_deadline_ms = now + 600'000;
+  second.set_run_ms(10'000);
+  ASSERT_EQ(second.carry_out(late, now).outcome, order_outcome::accepted);
+  run_until(now + 600);
+  ASSERT_TRUE(second.runs().empty());
+  ASSERT_EQ(first.runs().size(), 1U);
+  release_runs(state, 1, now, out);
+  flush();
+  run_until(now + 100);
+  EXPECT_TRUE(first.runs().empty());
+}
+
 // The stop was acknowledged only by the previous incarnation. The delayed start
 // must not run on the new one beside the next attempt.
 TEST_F(pool_fixture, a_stop_acknowledged_by_a_past_incarnation_is_sent_again) {
