--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -45,6 +45,20 @@
   }
 }
 
+TEST(host_model, a_start_does_not_outlast_its_stop_over_a_restart) {
+  host_model model(834, {.crashing_jobs = 0.1});
+  model.run(8'000, 8'000);
+  EXPECT_FALSE(model.violation()) << *model.violation();
+}
+
+TEST(host_model, crashes_are_counted_over_many_changes_of_owner) {
+  for (uint64_t seed : {3098, 4366}) {
+    host_model model(seed, {.crashing_jobs = 0.1});
+    model.run(8'000, 8'000);
+    EXPECT_FALSE(model.violation()) << seed << ": " << *model.violation();
+  }
+}
+
 // Checks that the random runs reach the faults and the reactions to them.
 TEST(host_model, reaches_every_kind_of_event) {
   host_model_counts sum;
