A crash is reported before its owner may be replaced

Cause: an owner counted a loss when the leases of the crashed upstream were over, up to a second after the crash. An owner that was replaced within that second told nobody, and its successor began at zero.

The evidence is there within milliseconds: the upstream's host refuses connections. Its runs are now reported as losses at once. Until the leases are over such a loss is of unknown cause (three of these give a task up, two crashes do), since a host may refuse connections while its process goes on.

--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -120,6 +120,14 @@
 // The evidence for an upstream whose leases have expired.
 loss_evidence evidence_of_silence(const leased_upstream& upstream);
 
+// Reports the runs of an upstream that refuses connections as losses of unknown
+// cause, long before its leases expire: until then this process may fail, and
+// its successor does not know of these runs.
+void report_likely_losses(pool& pool,
+                          const leased_upstream& upstream,
+                          unix_ms now,
+                          pool_output& out);
+
 // Ends a run that was lost together with its upstream.
 void lose_run(pool& pool,
               leased_upstream& upstream,
--- a/cyclamenwood/pool_losses.cc
+++ b/cyclamenwood/pool_losses.cc
@@ -46,17 +46,21 @@
   return true;
 }
 
-wire::run_loss describe_loss(const leased_upstream& upstream,
-                             const std::string& name,
-                             const leased_run& run,
-                             loss_evidence evidence) {
+// Adds the loss to the history of the pool, and reports it if it is new there.
+void report_loss(pool& pool,
+                 const leased_upstream& upstream,
+                 const std::string& name,
+                 bool crashed,
+                 unix_ms now,
+                 pool_output& out) {
   wire::run_loss loss;
   loss.set_task(name);
   loss.set_upstream(upstream.info.id());
-  loss.set_incarnation(incarnation_of(upstream, run));
+  loss.set_incarnation(incarnation_of(upstream, upstream.runs.at(name)));
   loss.set_remaining_ms(LOSS_RETENTION_MS);
-  loss.set_crashed(evidence != loss_evidence::silent);
-  return loss;
+  loss.set_crashed(crashed);
+  if (record_loss(pool.losses, loss, now))
+    out.losses.push_back(std::move(loss));
 }
 
 void log_loss(const leased_upstream& upstream,
@@ -106,6 +110,17 @@
                                      : loss_evidence::silent;
 }
 
+void report_likely_losses(pool& pool,
+                          const leased_upstream& upstream,
+                          unix_ms now,
+                          pool_output& out) {
+  loss_evidence evidence = evidence_of_silence(upstream);
+  for (const auto& [name, run] : upstream.runs) {
+    if (counts_as_loss(run, evidence))
+      report_loss(pool, upstream, name, false, now, out);
+  }
+}
+
 void lose_run(pool& pool,
               leased_upstream& upstream,
               const std::string& name,
@@ -114,11 +129,9 @@
               pool_output& out) {
   const leased_run& run = upstream.runs.at(name);
   log_loss(upstream, name, run, evidence, now, out);
-  if (counts_as_loss(run, evidence)) {
-    wire::run_loss loss = describe_loss(upstream, name, run, evidence);
-    record_loss(pool.losses, loss, now);
-    out.losses.push_back(std::move(loss));
-  }
+  if (counts_as_loss(run, evidence))
+    report_loss(pool, upstream, name, evidence != loss_evidence::silent, now,
+                out);
   end_run(pool, upstream, name, run_end::lease_expired, out);
 }
 
--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -374,8 +374,10 @@
     read_clock(upstream, reply.clock_ms, now);
   if (reply.outcome != order_outcome::unanswered)
     upstream.last_contact_ms = now;
-  upstream.connection_refused =
-      upstream.connection_refused || reply.connection_refused;
+  if (reply.connection_refused) {
+    upstream.connection_refused = true;
+    report_likely_losses(pool, upstream, now, out);
+  }
   if (order.kind == order_kind::start)
     start_replied(pool, upstream, order, reply.outcome, now, out);
   else if (order.kind == order_kind::stop)
--- a/cyclamenwood/testing/pool_losses_test.cc
+++ b/cyclamenwood/testing/pool_losses_test.cc
@@ -141,7 +141,20 @@
   }
   run_until(now + 1'500);
   EXPECT_FALSE(state.placed.contains("j.0.0.0"));
-  EXPECT_EQ(state.losses.tasks.size(), 1U);
+  ASSERT_EQ(state.losses.tasks.size(), 1U);
+  EXPECT_TRUE(state.losses.tasks.at("j.0.0.0").begin()->second.crashed);
+}
+
+TEST_F(pool_losses, a_crash_is_reported_before_its_owner_may_be_replaced) {
+  add_fragile_upstreams(1, "j.0.0.0");
+  own(1);
+  run_until(now + 100);
+  ask(patient_request("j", 1));
+  run_until(now + 50);
+  ASSERT_EQ(crashes(), 1U);
+  ASSERT_EQ(out.losses.size(), 1U);
+  EXPECT_EQ(out.losses[0].task(), "j.0.0.0");
+  EXPECT_FALSE(out.losses[0].crashed());
 }
 
 TEST_F(pool_losses, a_restart_under_the_same_id_counts_as_a_crash) {
