A start without an answer is barred on each later incarnation

Cause: a stop bars a start in the process that acknowledged it, not in its successor. Owners repeated the stop on a restart only for runs that were not settled yet, and only if the missing answer was known before the stop. It is the class of: a statement of one process is taken to hold for another.

Owners now keep each unanswered start for 15 s, the longest that orders were seen to be late being 12 s, with the incarnation that would reject it. Any other incarnation is sent a stop as soon as it is known, and again when it answers, until it confirms. Nothing else is placed there meanwhile, and a task is never placed where a run of its name remains. A renewal that fails is repeated at once, since a process that was restarted answers then; it was repeated after 50 ms.

Two changes to the simulation: a renewal that an upstream holds ends with its process, as its connection does; before, the next process answered it at the end of its wait.

--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -90,6 +90,16 @@
   uint64_t past_incarnation = 0;
 };
 
+// A start order that was not answered.
+struct unanswered_start {
+  uint32_t attempt = 0;
+  // The incarnation that rejects the order if it arrives now: the one that it
+  // was sent to, where its lease expires, or one that has confirmed a stop.
+  uint64_t barred_in = 0;
+  // The order may be carried out until then.
+  unix_ms expires_ms = 0;
+};
+
 // An amount of resources; may exceed the capacity of an upstream.
 struct resource_amount {
   int64_t cpu_milli = 0;
@@ -135,6 +145,9 @@
   bool on_probation = false;
   // By task name.
   std::map<std::string, leased_run> runs;
+  // By task name; also of runs that are settled. Another incarnation would
+  // carry out such an order, since it knows neither the stop nor the end.
+  std::map<std::string, unanswered_start> unanswered_starts;
 };
 
 struct pool_task {
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -62,6 +62,13 @@
                   unix_ms now,
                   pool_output& out);
 
+// The resources of a run of unknown size: more than any upstream has, whatever
+// its capacity becomes, so that nothing starts beside it.
+wire::room unknown_need();
+
+// Orders stops of the starts that this incarnation would still carry out.
+void bar_unanswered_starts(leased_upstream& upstream, unix_ms now);
+
 // The upstream was restarted under the same id, so that its end numbers and its
 // clock start again. A run may belong to the previous incarnation, which has
 // ended, or may have been ordered since the restart; only the next list tells
@@ -191,11 +198,12 @@
 
 // ---- pool_place.cc ----------------------------------------------------------
 
-// Returns the best upstream for the task, or null if none has enough free
-// resources.
+// Returns the best upstream for the task `name`, or null if none has enough
+// free resources. One that still has a run of this name is not chosen.
 leased_upstream* choose_upstream(pool& pool,
                                  const pool_job& job,
                                  const pool_task& task,
+                                 const std::string& name,
                                  unix_ms now);
 // Whether tasks may be started on the upstream now.
 bool may_take_work(const leased_upstream& upstream, unix_ms now);
--- a/cyclamenwood/pool_losses.cc
+++ b/cyclamenwood/pool_losses.cc
@@ -26,11 +26,19 @@
   return run.started_ms != 0 || run.discovered_ms != 0;
 }
 
+// Whether the run is none of this incarnation's, but only stopped there in case
+// a start order for an earlier one arrives.
+bool is_barred_start(const leased_run& run) {
+  return run.submission == 0 && !has_arrived(run);
+}
+
 // Whether the run may have been in progress when its upstream went away, and
 // that was not planned. Of orders that a silent upstream has not answered it is
 // more likely that they did not reach it. A stop that was acknowledged after
 // connections had been refused may have reached the next incarnation only.
 bool counts_as_loss(const leased_run& run, loss_evidence evidence) {
+  if (is_barred_start(run))
+    return false;
   switch (evidence) {
     case loss_evidence::left:
       return false;
@@ -128,7 +136,8 @@
               unix_ms now,
               pool_output& out) {
   const leased_run& run = upstream.runs.at(name);
-  log_loss(upstream, name, run, evidence, now, out);
+  if (!is_barred_start(run))
+    log_loss(upstream, name, run, evidence, now, out);
   if (counts_as_loss(run, evidence))
     report_loss(pool, upstream, name, evidence != loss_evidence::silent, now,
                 out);
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -72,9 +72,11 @@
   for (auto& [index, task] : job.tasks) {
     if (!task.queued || adopt_task(pool, job, index, out))
       continue;
-    bool busy = pool.placed.contains(task_name(job.request, index));
+    std::string name = task_name(job.request, index);
     leased_upstream* upstream =
-        busy ? nullptr : choose_upstream(pool, job, task, now);
+        pool.placed.contains(name)
+            ? nullptr
+            : choose_upstream(pool, job, task, name, now);
     if (upstream == nullptr) {
       done.has_queued = true;
       continue;
@@ -151,6 +153,7 @@
 leased_upstream* choose_upstream(pool& pool,
                                  const pool_job& job,
                                  const pool_task& task,
+                                 const std::string& name,
                                  unix_ms now) {
   const wire::run_request& request = job.request;
   auto peer = pool.peers.find(job.from);
@@ -166,7 +169,7 @@
         !has_label(upstream.info, request.label()))
       continue;
     resource_amount free = free_resources(upstream);
-    if (!fits(request.need(), free))
+    if (!fits(request.need(), free) || upstream.runs.contains(name))
       continue;
     preference offered{task.failed_on.contains(id),
                        !has_label(upstream.info, request.rack()),
--- a/cyclamenwood/pool_progress.cc
+++ b/cyclamenwood/pool_progress.cc
@@ -80,14 +80,12 @@
 }
 
 bool fits_elsewhere(pool& pool,
-                    const leased_upstream& upstream,
                     const pool_job& job,
                     const pool_task& task,
+                    const std::string& name,
                     unix_ms now) {
-  pool_task elsewhere = task;
-  elsewhere.failed_on.insert(upstream.info.id());
-  const leased_upstream* other = choose_upstream(pool, job, elsewhere, now);
-  return other != nullptr && !elsewhere.failed_on.contains(other->info.id());
+  const leased_upstream* other = choose_upstream(pool, job, task, name, now);
+  return other != nullptr && !task.failed_on.contains(other->info.id());
 }
 
 void update_progress(leased_run& run, int64_t percent, unix_ms now) {
@@ -158,7 +156,7 @@
   unix_ms elsewhere_ms = now + MOVE_MS + usual_length_ms(*job);
   bool moves = task.moves < MAX_MOVES &&
                is_worth_moving(*job, here_ms, elsewhere_ms, now) &&
-               fits_elsewhere(pool, upstream, *job, task, now);
+               fits_elsewhere(pool, *job, task, listed.task, now);
   if (moves) {
     ++task.moves;
     task.failed_on.insert(upstream.info.id());
--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -21,20 +21,11 @@
 constexpr int64_t MAX_STOP_RETRY_MS = 400;
 // Start orders of one attempt before another upstream is tried.
 constexpr int MAX_UNANSWERED_STARTS = 3;
+// An order without an answer may be carried out this much later.
+constexpr int64_t LATE_START_MS = 15'000;
 constexpr int64_t BACKOFF_MS = 500;
 constexpr int64_t NO_CAPACITY_BACKOFF_MS = 100;
 
-// The resources of a run that no entry host has requested so far: more than any
-// upstream has, whatever its capacity becomes, so that nothing starts beside
-// it.
-wire::room unknown_need() {
-  wire::room need;
-  need.set_cpu_milli(UINT32_MAX);
-  need.set_memory_mb(UINT32_MAX);
-  need.set_accelerators(UINT32_MAX);
-  return need;
-}
-
 // Another upstream has replied at its address, so that this one has ended.
 void remove_upstream(pool& pool,
                      const std::string& id,
@@ -69,6 +60,22 @@
   return same ? &found->second : nullptr;
 }
 
+void record_unanswered_start(leased_upstream& upstream,
+                             const run_order& order,
+                             unix_ms now) {
+  unanswered_start& start = upstream.unanswered_starts[order.task];
+  start.attempt = std::max(start.attempt, order.attempt);
+  start.barred_in = order.incarnation;
+  start.expires_ms = now + LATE_START_MS;
+}
+
+void start_barred(leased_upstream& upstream, const run_order& stop) {
+  auto start = upstream.unanswered_starts.find(stop.task);
+  if (start != upstream.unanswered_starts.end() &&
+      start->second.attempt <= stop.attempt)
+    start->second.barred_in = stop.incarnation;
+}
+
 void start_unanswered(pool& pool,
                       leased_upstream& upstream,
                       const run_order& order,
@@ -135,6 +142,8 @@
                    order_outcome outcome,
                    unix_ms now,
                    pool_output& out) {
+  if (outcome == order_outcome::unanswered)
+    record_unanswered_start(upstream, order, now);
   leased_run* run = find_run(upstream, order);
   if (run == nullptr || run->state != run_state::starting)
     return;
@@ -193,10 +202,12 @@
                   const run_order& order,
                   order_outcome outcome,
                   unix_ms now) {
+  bool previous_incarnation = order.incarnation != upstream.info.incarnation();
+  if (outcome != order_outcome::unanswered && !previous_incarnation)
+    start_barred(upstream, order);
   leased_run* run = find_run(upstream, order);
   if (run == nullptr || run->state != run_state::stopping)
     return;
-  bool previous_incarnation = order.incarnation != upstream.info.incarnation();
   if (outcome == order_outcome::unanswered)
     run->resend_ms = now + next_stop_delay_ms(*run);
   else if (previous_incarnation)
@@ -311,7 +322,11 @@
   upstream.renewal_order = 0;
   if (reply.outcome != order_outcome::accepted) {
     log_unreachable(upstream, reply.outcome, out);
-    upstream.reachable = false;
+    if (std::exchange(upstream.reachable, false)) {
+      // A process that was restarted answers at once.
+      send_renewal(pool, upstream, 0, now, out);
+      return;
+    }
     bool silent_for_long =
         now - upstream.last_contact_ms > UPSTREAM_EXPIRY_MS / 10;
     upstream.next_renewal_ms =
@@ -336,6 +351,7 @@
   for (const listed_run& run : reply.running)
     process_listed_run(pool, upstream, run, now, out);
   end_absent_runs(pool, upstream, reply, sent_ms, now, out);
+  bar_unanswered_starts(upstream, now);
   pool.placement_due = pool.placement_due || !upstream.listed || !was_reachable;
   upstream.listed = true;
   // A new incarnation is listed again at once, so that runs that ended with the
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -147,6 +147,30 @@
   issue(pool, std::move(order), out);
 }
 
+wire::room unknown_need() {
+  wire::room need;
+  need.set_cpu_milli(UINT32_MAX);
+  need.set_memory_mb(UINT32_MAX);
+  need.set_accelerators(UINT32_MAX);
+  return need;
+}
+
+void bar_unanswered_starts(leased_upstream& upstream, unix_ms now) {
+  for (const auto& [name, start] : upstream.unanswered_starts) {
+    if (start.barred_in == upstream.info.incarnation())
+      continue;
+    auto [found, added] = upstream.runs.try_emplace(name);
+    if (!added)
+      continue;
+    leased_run& run = found->second;
+    run.attempt = start.attempt;
+    run.need = unknown_need();
+    reserve_resources(upstream, run.need);
+    run.state = run_state::stopping;
+    run.resend_ms = now;
+  }
+}
+
 void begin_new_incarnation(leased_upstream& upstream,
                            uint64_t incarnation,
                            unix_ms now,
@@ -166,12 +190,13 @@
     bool may_have_run = !is_stopped(run) || run.unanswered_starts > 0;
     if (run.past_incarnation == 0 && !has_left && may_have_run)
       run.past_incarnation = past;
-    if (run.unanswered_starts == 0)
+    if (!upstream.unanswered_starts.contains(name))
       continue;
     run.state = run_state::stopping;
     run.absence_valid_from_ms = INT64_MAX;
     run.resend_ms = now;
   }
+  bar_unanswered_starts(upstream, now);
 }
 
 void end_run(pool& pool,
@@ -315,6 +340,9 @@
       expired.push_back(id);
       continue;
     }
+    std::erase_if(upstream.unanswered_starts, [now](const auto& item) {
+      return now >= item.second.expires_ms;
+    });
     if (upstream.renewal_order == 0 && now >= upstream.next_renewal_ms)
       send_renewal(pool, upstream, RENEWAL_WAIT_MS, now, out);
     tick_runs(pool, upstream, now, out);
--- a/cyclamenwood/testing/fake_upstream.cc
+++ b/cyclamenwood/testing/fake_upstream.cc
@@ -57,7 +57,9 @@
     end(task, how);
 }
 
-void fake_upstream::restart(unix_ms /*now*/) {
+void fake_upstream::restart(unix_ms now) {
+  if (restarts_clock)
+    clock_offset_ms_ = -now;
   info_.set_incarnation(info_.incarnation() + 1);
   info_.set_sequence(1);
   highest_token_ = 0;
--- a/cyclamenwood/testing/fake_upstream.h
+++ b/cyclamenwood/testing/fake_upstream.h
@@ -47,6 +47,9 @@
   // How long the upstream is down after a crash; it then restarts.
   int64_t down_ms = 3000;
 
+  // Whether its clock starts again at zero when it restarts.
+  bool restarts_clock = false;
+
   order_reply carry_out(const run_order& order, unix_ms now);
 
   // Ends the runs that are complete at this time, or whose lease has expired,
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -64,6 +64,8 @@
   }
   if (options_.changing_capacity)
     replicas_ = {{"replica-1", {}, {}}, {"replica-2", {}, {}}};
+  for (fake_upstream& upstream : upstreams_)
+    upstream.restarts_clock = options_.restarting_clocks;
   if (options_.crashing_jobs <= 0)
     return;
   for (fake_upstream& upstream : upstreams_) {
@@ -360,7 +362,11 @@
     return;
   }
   upstream->advance(now_);
-  order_reply reply = upstream->carry_out(delayed.order, now_);
+  uint64_t incarnation = upstream->info().incarnation();
+  // The connection ended with the process that held it.
+  bool broken = delayed.held_by != 0 && delayed.held_by != incarnation;
+  order_reply reply =
+      broken ? order_reply{} : upstream->carry_out(delayed.order, now_);
   bool waits = delayed.order.kind == order_kind::renewal &&
                reply.outcome == order_outcome::accepted &&
                reply.ended.empty() &&
@@ -368,6 +374,7 @@
   if (waits) {
     orders_.push_back(delayed);
     orders_.back().at_ms = now_ + STEP_MS;
+    orders_.back().held_by = incarnation;
     return;
   }
   if (sender_alive && !delayed.reply_lost)
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -45,6 +45,9 @@
   // Upstreams change their capacity as they run, and announce it to one of two
   // replicas. Without this, hosts hear of all upstreams from one source.
   bool changing_capacity = false;
+  // The clocks of upstreams start again when they restart, so that a late order
+  // for the process before is not recognized by its lease.
+  bool restarting_clocks = false;
 };
 
 class host_model {
@@ -112,6 +115,8 @@
     run_order order;
     unix_ms sent_ms = 0;
     bool reply_lost = false;
+    // The incarnation of the upstream that delays its reply; 0: none.
+    uint64_t held_by = 0;
   };
 
   bool chance(double share);
--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -51,6 +51,14 @@
   EXPECT_FALSE(model.violation()) << *model.violation();
 }
 
+TEST(host_model, a_late_start_does_not_reach_a_restarted_upstream) {
+  for (uint64_t seed : {149, 888, 1175, 1635}) {
+    host_model model(seed, {.crashing_jobs = 0.1, .restarting_clocks = true});
+    model.run(8'000, 8'000);
+    EXPECT_FALSE(model.violation()) << seed << ": " << *model.violation();
+  }
+}
+
 TEST(host_model, crashes_are_counted_over_many_changes_of_owner) {
   for (uint64_t seed : {3098, 4366}) {
     host_model model(seed, {.crashing_jobs = 0.1});
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -54,6 +54,30 @@
   EXPECT_EQ(second.runs().size(), 1U);
 }
 
+// The restarted upstream knows nothing of the stop that settled the attempt.
+TEST_F(pool_fixture, a_stopped_start_is_not_carried_out_after_a_restart) {
+  fake_upstream& first = add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  drop_starts = 3;
+  ask(request(1, "j1", 1));
+  run_order late;
+  for (const auto& [id, order] : state.orders) {
+    if (order.kind == order_kind::start)
+      late = order;
+  }
+  fake_upstream& second = add_upstream("u2", 1000);
+  second.set_run_ms(5000);
+  while (second.runs().empty() && now < 1'003'000)
+    run_until(now + STEP_MS);
+  ASSERT_EQ(second.runs().size(), 1U);
+  first.restart(now);
+  run_until(now + 1'000);
+  late.lease_deadline_ms = INT64_MAX;
+  EXPECT_EQ(first.carry_out(late, now).outcome, order_outcome::stale_attempt);
+  EXPECT_EQ(state.upstreams.at("u1").used.cpu_milli, 0);
+}
+
 TEST_F(pool_fixture, a_rejected_token_ends_the_ownership) {
   fake_upstream& upstream = add_upstream("u1");
   own(1);
