A job lost in silence is not shown as failed

Cause: since a task is not started again after two crashes or three losses of any kind, and both were reported as a failure. Of an upstream that fell silent nobody knows whether it crashed; it may have been cut off, and the task may have run.

Three losses of any kind still end a task, since it may have crashed all three. A job that is sent again gets the same answer at once.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -353,10 +353,15 @@
     intake.jobs.at(known->second).exchanges.push_back(call.exchange);
     return;
   }
-  if (has_given_up_task(intake.losses, target.id)) {
+  loss_verdict verdict = judge_job(intake.losses, target.id);
+  if (verdict == loss_verdict::crashed) {
     refuse(out, call, caller_outcome::failed, "upstreams_crashed");
     return;
   }
+  if (verdict == loss_verdict::lost) {
+    refuse(out, call, caller_outcome::given_up, "upstreams_lost");
+    return;
+  }
   bool may_exceed_drain =
       now + DRAIN_ALLOWANCE * critical_path_ms(job) + DRAIN_MARGIN_MS >
       intake.answer_by_ms;
@@ -619,6 +624,9 @@
     } else if (result.outcome() == wire::RUN_CRASHED) {
       end_job(intake, result.submission(), caller_outcome::failed,
               "upstreams_crashed", now, out);
+    } else if (result.outcome() == wire::RUN_LOST) {
+      end_job(intake, result.submission(), caller_outcome::given_up,
+              "upstreams_lost", now, out);
     } else {
       begin_refusal(intake, result.submission(), now, out);
     }
--- a/cyclamenwood/loss_history.h
+++ b/cyclamenwood/loss_history.h
@@ -8,7 +8,7 @@
 //
 //   loss_history history;
 //   record_loss(history, loss, now);
-//   if (is_given_up(history, "5c0e7a21d94b36f8.0.1.17"))
+//   if (judge_task(history, "5c0e7a21d94b36f8.0.1.17") != loss_verdict::none)
 //     ...
 //
 // Owners report losses to the entry hosts that exchange hellos with them, which
@@ -35,8 +35,8 @@
 // A task is given up after this many crashes: a second one, of an upstream that
 // had nothing to do with the first, is no coincidence.
 constexpr size_t MAX_CRASHES = 2;
-// A task is given up after this many losses of any kind: of an upstream that
-// fell silent it is not known whether it crashed.
+// A task is not started again after this many losses of any kind: of an
+// upstream that fell silent it is not known whether it crashed.
 constexpr size_t MAX_LOSSES = 3;
 // Callers submit a job again within seconds.
 constexpr int64_t LOSS_RETENTION_MS = 30'000;
@@ -77,11 +77,21 @@
 // crashed, or with several that fell silent.
 bool is_suspect(const loss_history& history, std::string_view task);
 
-// Whether the task is not to be started again.
-bool is_given_up(const loss_history& history, std::string_view task);
+// Why a task is not started again.
+enum class loss_verdict {
+  none,
+  // It was lost with several upstreams that are known to have crashed: it has
+  // failed.
+  crashed,
+  // It was lost with several upstreams that fell silent: it may have crashed
+  // them, or they may have been cut off.
+  lost,
+};
+
+loss_verdict judge_task(const loss_history& history, std::string_view task);
 
-// Whether a task of the job is not to be started again.
-bool has_given_up_task(const loss_history& history, std::string_view job);
+// The verdict on the job, which is that on the worst of its tasks.
+loss_verdict judge_job(const loss_history& history, std::string_view job);
 
 // Adds the losses of the request's tasks to it.
 void add_losses(const loss_history& history,
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -165,6 +165,22 @@
   add_result(pool, out, job, task, state);
 }
 
+// Ends the task if it was lost too often. Returns whether it was.
+static bool give_up_lost_task(pool& pool,
+                              pool_job& job,
+                              uint32_t task,
+                              pool_output& out) {
+  loss_verdict verdict = judge_task(pool.losses, task_name(job.request, task));
+  if (verdict == loss_verdict::none)
+    return false;
+  job.started = true;
+  settle_task(
+      pool, job, task,
+      verdict == loss_verdict::crashed ? wire::RUN_CRASHED : wire::RUN_LOST,
+      out);
+  return true;
+}
+
 void task_run_settled(pool& pool,
                       const leased_run& run,
                       const std::string& upstream,
@@ -189,10 +205,8 @@
     settle_task(pool, *job, run.task, wire::RUN_FAILED, out);
     return;
   }
-  if (is_given_up(pool.losses, task_name(job->request, run.task))) {
-    settle_task(pool, *job, run.task, wire::RUN_CRASHED, out);
+  if (give_up_lost_task(pool, *job, run.task, out))
     return;
-  }
   task.suspect = is_suspect(pool.losses, task_name(job->request, run.task));
   enqueue_task(pool, *job, run.task);
 }
@@ -238,8 +252,8 @@
     }
     std::string name = task_name(request, task);
     state->second.suspect = is_suspect(pool.losses, name);
-    if (state->second.queued && is_given_up(pool.losses, name))
-      settle_task(pool, job, task, wire::RUN_CRASHED, out);
+    if (state->second.queued)
+      give_up_lost_task(pool, job, task, out);
   }
   record_load(pool, request, new_tasks, now);
 }
