Owners log runs that they find, adopt and that nobody wants any more

The logs of an incident in which a task ran twice could not tell a run that outlived its entry host from a late start on a restarted upstream or from two owners. run_found, run_adopted, run_unclaimed, run_orphaned and orphan_ended name the task, the attempt and the upstream. They are written on changes of owner and when a job ends before its tasks, not for each task.

--- a/cyclamenwood/order.cc
+++ b/cyclamenwood/order.cc
@@ -1,4 +1,4 @@
-// Names of tasks, and of the order outcomes for log events.
+// Names of tasks, and of the outcomes of orders and runs for log events.
 #include "cyclamenwood/order.h"
 
 #include <fmt/format.h>
@@ -33,4 +33,20 @@
   return "unanswered";
 }
 
+std::string_view to_string(run_end how) {
+  switch (how) {
+    case run_end::done:
+      return "done";
+    case run_end::failed:
+      return "failed";
+    case run_end::stopped:
+      return "stopped";
+    case run_end::lease_expired:
+      return "lease_expired";
+    case run_end::gang_aborted:
+      return "gang_aborted";
+  }
+  return "unknown";
+}
+
 }  // namespace cyclamenwood
--- a/cyclamenwood/order.h
+++ b/cyclamenwood/order.h
@@ -79,6 +79,8 @@
 
 enum class run_end { done, failed, stopped, lease_expired, gang_aborted };
 
+std::string_view to_string(run_end how);
+
 struct listed_end {
   uint64_t number = 0;
   std::string task;
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -88,6 +88,9 @@
   // The incarnation of the upstream before the present one, if the run may
   // belong to it; otherwise 0.
   uint64_t past_incarnation = 0;
+  // When the entry host that had requested the run was last known to want it,
+  // if it does not any more; otherwise 0.
+  unix_ms orphaned_ms = 0;
 };
 
 // A start order that was not answered.
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -45,9 +45,47 @@
          });
 }
 
+// Why the runs of a submission are not wanted any more.
+enum class orphan_cause { released, superseded, entry_host_lost };
+
+std::string_view to_string(orphan_cause cause) {
+  switch (cause) {
+    case orphan_cause::released:
+      return "released";
+    case orphan_cause::superseded:
+      return "superseded";
+    case orphan_cause::entry_host_lost:
+      return "entry_host_lost";
+  }
+  return "unknown";
+}
+
+// When the entry host of the job was last known to be alive.
+unix_ms last_contact_ms(const pool& pool, const pool_job& job) {
+  auto peer = pool.peers.find(job.from);
+  return peer == pool.peers.end() ? 0 : peer->second.last_contact_ms;
+}
+
+void orphan_run(leased_upstream& upstream,
+                const std::string& name,
+                orphan_cause cause,
+                unix_ms wanted_ms,
+                unix_ms now,
+                pool_output& out) {
+  leased_run& run = upstream.runs.at(name);
+  if (run.orphaned_ms == 0)
+    run.orphaned_ms = wanted_ms;
+  out.events.push_back(
+      {"run_orphaned",
+       fmt::format("task={} attempt={} upstream={} cause={} unwanted_ms={}",
+                   name, run.attempt, upstream.info.id(), to_string(cause),
+                   now - run.orphaned_ms)});
+}
+
 // Stops the runs of the submission and removes it.
 void cancel_submission(pool& pool,
                        uint64_t submission,
+                       orphan_cause cause,
                        unix_ms now,
                        pool_output& out) {
   auto found = pool.jobs.lower_bound({submission, 0});
@@ -59,13 +97,29 @@
       if (placed == pool.placed.end())
         continue;
       leased_upstream& upstream = pool.upstreams[placed->second];
-      if (upstream.runs[placed->first].submission == submission)
-        stop_run(pool, upstream, placed->first, now, out);
+      if (upstream.runs[placed->first].submission != submission)
+        continue;
+      orphan_run(upstream, placed->first, cause, last_contact_ms(pool, job),
+                 now, out);
+      stop_run(pool, upstream, placed->first, now, out);
     }
     found = pool.jobs.erase(found);
   }
 }
 
+bool release_submission(pool& pool,
+                        uint64_t submission,
+                        orphan_cause cause,
+                        unix_ms now,
+                        pool_output& out) {
+  auto [found, is_first] = pool.released.try_emplace(submission);
+  found->second.released_ms = now;
+  if (is_first)
+    found->second.unstarted = is_unstarted(pool, submission);
+  cancel_submission(pool, submission, cause, now, out);
+  return found->second.unstarted;
+}
+
 // Ends all other submissions of the same job.
 void supersede(pool& pool,
                const wire::run_request& request,
@@ -79,7 +133,7 @@
   for (uint64_t submission : superseded) {
     out.events.push_back(
         {"job_superseded", fmt::format("job={}", request.job())});
-    release_runs(pool, submission, now, out);
+    release_submission(pool, submission, orphan_cause::superseded, now, out);
   }
 }
 
@@ -93,7 +147,8 @@
       submissions.insert(id.first);
   }
   for (uint64_t submission : submissions)
-    cancel_submission(pool, submission, now, out);
+    cancel_submission(pool, submission, orphan_cause::entry_host_lost, now,
+                      out);
   if (!submissions.empty())
     out.events.push_back(
         {"entry_host_lost",
@@ -140,6 +195,9 @@
   state.returnable = false;
   job.started = true;
   state.next_attempt = run.attempt + 1;
+  out.events.push_back(
+      {"run_adopted", fmt::format("task={} attempt={} upstream={}", name,
+                                  run.attempt, upstream.info.id())});
   return true;
 }
 
@@ -297,12 +355,7 @@
                   uint64_t submission,
                   unix_ms now,
                   pool_output& out) {
-  auto [found, is_first] = pool.released.try_emplace(submission);
-  found->second.released_ms = now;
-  if (is_first)
-    found->second.unstarted = is_unstarted(pool, submission);
-  cancel_submission(pool, submission, now, out);
-  return found->second.unstarted;
+  return release_submission(pool, submission, orphan_cause::released, now, out);
 }
 
 bool update_peer(pool& pool,
--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -254,6 +254,21 @@
   }
 }
 
+void log_found_run(const pool& pool,
+                   const leased_upstream& upstream,
+                   const listed_run& listed,
+                   pool_output& out) {
+  auto placed = pool.placed.find(listed.task);
+  out.events.push_back(
+      {"run_found",
+       fmt::format("task={} attempt={} upstream={} incarnation={} percent={} "
+                   "pool={} token={} first_list={} also_on={}",
+                   listed.task, listed.attempt, upstream.info.id(),
+                   upstream.info.incarnation(), listed.percent, pool.name,
+                   pool.token, !upstream.listed,
+                   placed == pool.placed.end() ? "none" : placed->second)});
+}
+
 void process_listed_run(pool& pool,
                         leased_upstream& upstream,
                         const listed_run& listed,
@@ -272,6 +287,7 @@
     check_progress(pool, upstream, listed, now, out);
     return;
   }
+  log_found_run(pool, upstream, listed, out);
   bool runs_elsewhere = pool.placed.contains(listed.task);
   leased_run& found = upstream.runs[listed.task];
   found.attempt = listed.attempt;
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -106,6 +106,17 @@
 
 // ---- Time -------------------------------------------------------------------
 
+void log_unclaimed(const leased_upstream& upstream,
+                   const std::string& name,
+                   const leased_run& run,
+                   unix_ms now,
+                   pool_output& out) {
+  out.events.push_back(
+      {"run_unclaimed",
+       fmt::format("task={} attempt={} upstream={} found_ms={}", name,
+                   run.attempt, upstream.info.id(), now - run.discovered_ms)});
+}
+
 void tick_runs(pool& pool,
                leased_upstream& upstream,
                unix_ms now,
@@ -119,12 +130,14 @@
   }
   for (const std::string& name : due) {
     leased_run& run = upstream.runs[name];
-    if (run.state == run_state::starting)
+    if (run.state == run_state::starting) {
       send_start(pool, upstream, name, run, now, out);
-    else if (run.state == run_state::stopping)
+    } else if (run.state == run_state::stopping) {
       send_stop(pool, upstream, name, run, now, out);
-    else
+    } else {
+      log_unclaimed(upstream, name, run, now, out);
       stop_run(pool, upstream, name, now, out);
+    }
   }
 }
 
@@ -207,6 +220,11 @@
   auto found = upstream.runs.find(name);
   leased_run run = std::move(found->second);
   upstream.runs.erase(found);
+  if (run.orphaned_ms != 0)
+    out.events.push_back(
+        {"orphan_ended",
+         fmt::format("task={} attempt={} upstream={} how={}", name, run.attempt,
+                     upstream.info.id(), to_string(how))});
   release_resources(upstream, run.need);
   upstream.isolated = upstream.isolated && !upstream.runs.empty();
   // A second run of the task may have been found on another upstream.
