--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -60,7 +60,7 @@
     for (int i = 1; i <= 3; ++i)
       upstreams_.emplace_back(fmt::format("u-{}-{}", zone, i), zone,
                               UPSTREAM_CPU_MILLI, between(0, 1'000'000),
-                              between(30, 500));
+                              between(30, options_.max_run_ms));
   }
   if (options_.changing_capacity)
     replicas_ = {{"replica-1", {}, {}}, {"replica-2", {}, {}}};
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -48,6 +48,9 @@
   // The clocks of upstreams start again when they restart, so that a late order
   // for the process before is not recognized by its lease.
   bool restarting_clocks = false;
+  // The longest run of a task. Runs longer than the time after which callers
+  // submit a job again may meet a run of the next submission.
+  int64_t max_run_ms = 500;
 };
 
 class host_model {
--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -59,6 +59,14 @@
   }
 }
 
+TEST(host_model, a_run_ends_before_its_job_is_submitted_again) {
+  for (uint64_t seed : {218, 255, 348}) {
+    host_model model(seed, {.max_run_ms = 3'000});
+    model.run(8'000, 8'000);
+    EXPECT_FALSE(model.violation()) << seed << ": " << *model.violation();
+  }
+}
+
 TEST(host_model, crashes_are_counted_over_many_changes_of_owner) {
   for (uint64_t seed : {3098, 4366}) {
     host_model model(seed, {.crashing_jobs = 0.1});
