A run ends before its job may be submitted again

A caller whose entry host fails submits its job again after 1.3 s, elsewhere, and its tasks may go to another pool. The runs of the first submission must be over by then, but nothing ensured it: owners renewed the lease of an upstream for all runs there, also for a run that a new owner had found and nobody had requested, and for one whose stop was not answered.

Now each run limits the lease of its upstream: to the last contact with its entry host (for a release: the contact that the release names) plus the resubmission time less 200 ms. A run that a new owner finds extends nothing until it is requested. So the bound holds whatever becomes of stops, owners and entry hosts.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -162,6 +162,7 @@
   pool& pool = state.pools[pool_name(grant)];
   pool.name = pool_name(grant);
   pool.options.lease_ms = state.settings.run_lease_ms;
+  pool.options.resubmission_ms = state.settings.resubmission_ms;
   pool_output done;
   for (const auto& [id, upstream] : state.upstreams) {
     if (shard_of(id, shards_of(grant)) == grant.shard())
@@ -360,7 +361,8 @@
     if (pool.token == 0 || !meant)
       continue;
     pool_output done;
-    released.set_unstarted(release_runs(pool, release.submission(), now, done));
+    released.set_unstarted(
+        release_runs(pool, release.submission(), release.echo_ms(), now, done));
     released.set_token(pool.token);
     apply_output(state, pool, std::move(done), now, out);
   }
--- a/cyclamenwood/host_settings.cc
+++ b/cyclamenwood/host_settings.cc
@@ -63,6 +63,8 @@
   parsed.data_folder = reader.text("data_folder", 0, MAX_TEXT_BYTES, "");
   parsed.run_lease_ms =
       reader.integer("run_lease_ms", 1, MAX_SPAN_MS, parsed.run_lease_ms);
+  parsed.resubmission_ms =
+      reader.integer("resubmission_ms", 1, MAX_SPAN_MS, parsed.resubmission_ms);
   parsed.tolerated_hosts =
       reader.integer("tolerated_hosts", 0, 100, parsed.tolerated_hosts);
   const nlohmann::json* grace = reader.member("stop_grace_s");
--- a/cyclamenwood/host_settings.h
+++ b/cyclamenwood/host_settings.h
@@ -36,6 +36,9 @@
   std::string data_folder;
   // Longest lease that an upstream grants to a run.
   int64_t run_lease_ms = 1000;
+  // Callers without an answer submit their job again after this time at the
+  // earliest.
+  int64_t resubmission_ms = 1300;
   // Number of hosts with a disk that may be lost at the same time.
   int64_t tolerated_hosts = 1;
   // Longest time from the request to stop until the exit of the process.
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -144,6 +144,8 @@
   std::string host;
   // The token under which the owner got the tasks.
   uint64_t token = 0;
+  // See run_release.
+  int64_t echo_ms = 0;
   uint32_t resends = 0;
   unix_ms resend_ms = 0;
   unix_ms expires_ms = 0;
--- a/cyclamenwood/intake_end.cc
+++ b/cyclamenwood/intake_end.cc
@@ -36,12 +36,14 @@
 void send_release(const std::string& host,
                   uint64_t submission,
                   const std::string& pool,
+                  int64_t echo_ms,
                   bool confirm,
                   intake_output& out) {
   wire::envelope envelope;
   wire::run_release& release = *envelope.mutable_run_release();
   release.set_submission(submission);
   release.set_pool(pool);
+  release.set_echo_ms(echo_ms);
   release.set_confirm(confirm);
   out.messages.emplace_back(host, std::move(envelope));
 }
@@ -133,10 +135,15 @@
     if (grant == intake.grants.end())
       continue;
     const std::string& host = grant->second.host();
-    send_release(host, submission, name, unfinished, out);
+    int64_t echo_ms = make_pool_hello(intake, name).echo_ms();
+    send_release(host, submission, name, echo_ms, unfinished, out);
     if (unfinished)
-      intake.releases[{submission, name}] = {
-          host, token, 0, now + RELEASE_RESEND_MS, now + RELEASE_EXPIRY_MS};
+      intake.releases[{submission, name}] = {host,
+                                             token,
+                                             echo_ms,
+                                             0,
+                                             now + RELEASE_RESEND_MS,
+                                             now + RELEASE_EXPIRY_MS};
   }
   intake.by_id.erase(job.id);
   intake.jobs.erase(found);
@@ -198,7 +205,7 @@
       continue;
     ++release.resends;
     release.resend_ms = now + (RELEASE_RESEND_MS << release.resends);
-    send_release(release.host, id.first, id.second, true, out);
+    send_release(release.host, id.first, id.second, release.echo_ms, true, out);
   }
 }
 
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -20,6 +20,9 @@
 // stop was acknowledged and a later list lacks it, or every lease that was ever
 // requested for its upstream has expired.
 //
+// A run ends before the caller of its job may submit that again elsewhere, even
+// if its owner and its entry host fail (pool_leases.cc).
+//
 // A task that was lost with several upstreams (loss_history.h) is not started
 // again, since it may have crashed them.
 //
@@ -219,6 +222,9 @@
 
 struct pool_options {
   int64_t lease_ms = 1000;
+  // Callers without an answer submit their job again after this time at the
+  // earliest.
+  int64_t resubmission_ms = 1300;
 };
 
 // Recently requested work, exponentially decayed: processor capacity
@@ -310,9 +316,12 @@
                   pool_output& out);
 // Stops the runs of a submission and drops its jobs. Requests of the submission
 // that arrive later are ignored. Returns whether it is certain that no start
-// was ordered for it here; a repeated release gets the same result.
+// was ordered for it here; a repeated release gets the same result. `echo_ms`:
+// the latest time of this process's clock that the entry host had received when
+// it released the submission; 0 if unknown.
 bool release_runs(pool& pool,
                   uint64_t submission,
+                  unix_ms echo_ms,
                   unix_ms now,
                   pool_output& out);
 // Records that the entry host has received a message that this process sent at
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -102,6 +102,21 @@
              run_end how,
              pool_output& out);
 
+// ---- pool_leases.cc ---------------------------------------------------------
+
+// The time beyond which the lease of the upstream must not be extended, because
+// of a run that nobody is known to want until then; INT64_MAX: none.
+unix_ms lease_limit(const pool& pool, const leased_upstream& upstream);
+
+// Returns the deadline of a lease that begins now, on the upstream's clock; 0
+// if the lease can't be extended.
+int64_t extend_lease(const pool& pool, leased_upstream& upstream, unix_ms now);
+
+// A former owner may have extended the lease until now.
+void assume_longest_lease(const pool& pool,
+                          leased_upstream& upstream,
+                          unix_ms now);
+
 // ---- pool_losses.cc ---------------------------------------------------------
 
 // What the owner knows of the end of an upstream that took a run with it.
@@ -124,6 +139,10 @@
 // Whether the upstream has acknowledged that it stopped the run.
 bool is_stopped(const leased_run& run);
 
+// Whether the run is none of this incarnation's, but only stopped there in case
+// a start order for an earlier one arrives.
+bool is_barred_start(const leased_run& run);
+
 // The evidence for an upstream whose leases have expired.
 loss_evidence evidence_of_silence(const leased_upstream& upstream);
 
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -66,6 +66,7 @@
   return peer == pool.peers.end() ? 0 : peer->second.last_contact_ms;
 }
 
+// `wanted_ms`: when the run was last known to be wanted.
 void orphan_run(leased_upstream& upstream,
                 const std::string& name,
                 orphan_cause cause,
@@ -73,8 +74,8 @@
                 unix_ms now,
                 pool_output& out) {
   leased_run& run = upstream.runs.at(name);
-  if (run.orphaned_ms == 0)
-    run.orphaned_ms = wanted_ms;
+  // 0 stands for a run that is wanted.
+  run.orphaned_ms = std::max<unix_ms>(wanted_ms, 1);
   out.events.push_back(
       {"run_orphaned",
        fmt::format("task={} attempt={} upstream={} cause={} unwanted_ms={}",
@@ -82,10 +83,12 @@
                    now - run.orphaned_ms)});
 }
 
-// Stops the runs of the submission and removes it.
+// Stops the runs of the submission, which were wanted until `wanted_ms` at the
+// latest, and removes it.
 void cancel_submission(pool& pool,
                        uint64_t submission,
                        orphan_cause cause,
+                       unix_ms wanted_ms,
                        unix_ms now,
                        pool_output& out) {
   auto found = pool.jobs.lower_bound({submission, 0});
@@ -99,8 +102,8 @@
       leased_upstream& upstream = pool.upstreams[placed->second];
       if (upstream.runs[placed->first].submission != submission)
         continue;
-      orphan_run(upstream, placed->first, cause, last_contact_ms(pool, job),
-                 now, out);
+      orphan_run(upstream, placed->first, cause,
+                 std::min(wanted_ms, last_contact_ms(pool, job)), now, out);
       stop_run(pool, upstream, placed->first, now, out);
     }
     found = pool.jobs.erase(found);
@@ -110,13 +113,14 @@
 bool release_submission(pool& pool,
                         uint64_t submission,
                         orphan_cause cause,
+                        unix_ms wanted_ms,
                         unix_ms now,
                         pool_output& out) {
   auto [found, is_first] = pool.released.try_emplace(submission);
   found->second.released_ms = now;
   if (is_first)
     found->second.unstarted = is_unstarted(pool, submission);
-  cancel_submission(pool, submission, cause, now, out);
+  cancel_submission(pool, submission, cause, wanted_ms, now, out);
   return found->second.unstarted;
 }
 
@@ -133,7 +137,8 @@
   for (uint64_t submission : superseded) {
     out.events.push_back(
         {"job_superseded", fmt::format("job={}", request.job())});
-    release_submission(pool, submission, orphan_cause::superseded, now, out);
+    release_submission(pool, submission, orphan_cause::superseded, now, now,
+                       out);
   }
 }
 
@@ -147,7 +152,7 @@
       submissions.insert(id.first);
   }
   for (uint64_t submission : submissions)
-    cancel_submission(pool, submission, orphan_cause::entry_host_lost, now,
+    cancel_submission(pool, submission, orphan_cause::entry_host_lost, now, now,
                       out);
   if (!submissions.empty())
     out.events.push_back(
@@ -353,9 +358,11 @@
 
 bool release_runs(pool& pool,
                   uint64_t submission,
+                  unix_ms echo_ms,
                   unix_ms now,
                   pool_output& out) {
-  return release_submission(pool, submission, orphan_cause::released, now, out);
+  return release_submission(pool, submission, orphan_cause::released, echo_ms,
+                            now, out);
 }
 
 bool update_peer(pool& pool,
--- /dev/null
+++ b/cyclamenwood/pool_leases.cc
@@ -0,0 +1,91 @@
+// How long a run may last that nobody wants any more.
+//
+// A caller whose entry host fails, or answers that the outcome is not known,
+// submits its job again after `resubmission_ms`, at any entry host, and its
+// tasks may then go to any pool. No process knows of both submissions, so that
+// the runs of the first one must be over by then.
+//
+// Stops can't ensure that. They may be lost or carried out late, and an owner
+// may fail before it sends them. The lease of the upstream can, as it ends
+// whatever happens. Each run therefore has a limit, beyond which no owner
+// extends the lease of its upstream:
+//
+// - Requested by an entry host: the time when that was last known to be alive,
+//   plus the time until callers submit their jobs again. A host that exchanges
+//   hellos moves the limit ahead of the lease.
+// - Not wanted any more, but its stop was not acknowledged: the same, from the
+//   time when it was last known to be wanted.
+// - Found by a new owner and not requested so far: no extension. That of the
+//   former owner obeyed the limit.
+//
+// The price: if stops remain unanswered for as long, the other runs on the
+// upstream end with the lease.
+#include <algorithm>
+
+#include "cyclamenwood/pool_internal.h"
+
+namespace cyclamenwood {
+namespace {
+
+// An upstream's clock may be 2% slow; the margin covers the error in reading
+// it.
+constexpr double SLOWEST_CLOCK = 0.98;
+constexpr int64_t LEASE_MARGIN_MS = 30;
+// The time by which runs end before their job may be submitted again. An entry
+// host that exits may exchange hellos for 100 ms after its last answers.
+constexpr int64_t RESUBMISSION_MARGIN_MS = 200;
+
+unix_ms limit_of_contact(const pool& pool, unix_ms contact_ms) {
+  return contact_ms + pool.options.resubmission_ms - RESUBMISSION_MARGIN_MS;
+}
+
+// INT64_MAX: none; 0: the lease must not be extended.
+unix_ms limit_of_run(const pool& pool, const leased_run& run) {
+  if (is_stopped(run) || is_barred_start(run))
+    return INT64_MAX;
+  if (run.orphaned_ms != 0)
+    return limit_of_contact(pool, run.orphaned_ms);
+  auto job = pool.jobs.find({run.submission, run.step});
+  if (job == pool.jobs.end())
+    return 0;
+  auto peer = pool.peers.find(job->second.from);
+  return peer == pool.peers.end()
+             ? 0
+             : limit_of_contact(pool, peer->second.last_contact_ms);
+}
+
+int64_t longest_lease(int64_t length_ms) {
+  return static_cast<int64_t>(static_cast<double>(length_ms) / SLOWEST_CLOCK) +
+         LEASE_MARGIN_MS;
+}
+
+}  // namespace
+
+unix_ms lease_limit(const pool& pool, const leased_upstream& upstream) {
+  unix_ms limit_ms = INT64_MAX;
+  for (const auto& [name, run] : upstream.runs)
+    limit_ms = std::min(limit_ms, limit_of_run(pool, run));
+  return limit_ms;
+}
+
+int64_t extend_lease(const pool& pool, leased_upstream& upstream, unix_ms now) {
+  int64_t left_ms = lease_limit(pool, upstream) - now;
+  if (!upstream.clock_offset_ms || left_ms <= LEASE_MARGIN_MS)
+    return 0;
+  int64_t length_ms = std::min(
+      pool.options.lease_ms,
+      static_cast<int64_t>(static_cast<double>(left_ms - LEASE_MARGIN_MS) *
+                           SLOWEST_CLOCK));
+  upstream.leases_expire_ms =
+      std::max(upstream.leases_expire_ms, now + longest_lease(length_ms));
+  return now + *upstream.clock_offset_ms + length_ms;
+}
+
+void assume_longest_lease(const pool& pool,
+                          leased_upstream& upstream,
+                          unix_ms now) {
+  upstream.leases_expire_ms = std::max(
+      upstream.leases_expire_ms, now + longest_lease(pool.options.lease_ms));
+}
+
+}  // namespace cyclamenwood
--- a/cyclamenwood/pool_losses.cc
+++ b/cyclamenwood/pool_losses.cc
@@ -26,12 +26,6 @@
   return run.started_ms != 0 || run.discovered_ms != 0;
 }
 
-// Whether the run is none of this incarnation's, but only stopped there in case
-// a start order for an earlier one arrives.
-bool is_barred_start(const leased_run& run) {
-  return run.submission == 0 && !has_arrived(run);
-}
-
 // Whether the run may have been in progress when its upstream went away, and
 // that was not planned. Of orders that a silent upstream has not answered it is
 // more likely that they did not reach it. A stop that was acknowledged after
@@ -90,6 +84,10 @@
 
 }  // namespace
 
+bool is_barred_start(const leased_run& run) {
+  return run.submission == 0 && !has_arrived(run);
+}
+
 bool is_stopped(const leased_run& run) {
   return run.state == run_state::stopping &&
          run.absence_valid_from_ms != INT64_MAX;
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -24,6 +24,10 @@
 namespace cyclamenwood {
 namespace {
 
+// A task whose lease may be no longer than this would hardly outlive the next
+// two renewals.
+constexpr int64_t MIN_START_LEASE_MS = 2 * RENEWAL_WAIT_MS;
+
 bool fits(const wire::room& need, const resource_amount& free) {
   return need.cpu_milli() <= free.cpu_milli &&
          need.memory_mb() <= free.memory_mb &&
@@ -169,7 +173,8 @@
         !has_label(upstream.info, request.label()))
       continue;
     resource_amount free = free_resources(upstream);
-    if (!fits(request.need(), free) || upstream.runs.contains(name))
+    if (!fits(request.need(), free) || upstream.runs.contains(name) ||
+        lease_limit(pool, upstream) < now + MIN_START_LEASE_MS)
       continue;
     preference offered{task.failed_on.contains(id),
                        !has_label(upstream.info, request.rack()),
--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -284,6 +284,8 @@
       run.absence_valid_from_ms = now;
       run.started_ms = now;
     }
+    if (is_barred_start(run))
+      run.discovered_ms = now;
     check_progress(pool, upstream, listed, now, out);
     return;
   }
@@ -369,7 +371,8 @@
   end_absent_runs(pool, upstream, reply, sent_ms, now, out);
   bar_unanswered_starts(upstream, now);
   pool.placement_due = pool.placement_due || !upstream.listed || !was_reachable;
-  upstream.listed = true;
+  if (!std::exchange(upstream.listed, true))
+    assume_longest_lease(pool, upstream, now);
   // A new incarnation is listed again at once, so that runs that ended with the
   // previous one are known to be absent.
   send_renewal(pool, upstream, restarted ? 0 : RENEWAL_WAIT_MS, now, out);
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -17,25 +17,12 @@
 
 // A reply within the zone takes a few ms; the rest allows for a busy process.
 constexpr int64_t ORDER_TIMEOUT_MS = 150;
-// An upstream's clock may be 2% slow; the margin covers the error in reading
-// it.
-constexpr double SLOWEST_CLOCK = 0.98;
-constexpr int64_t LEASE_MARGIN_MS = 30;
+// The wait of renewals that can't extend the lease for long, because of a run
+// that nobody is known to want; that may change soon.
+constexpr int64_t LIMITED_RENEWAL_WAIT_MS = 50;
 // The part of an order number that counts the orders under one token.
 constexpr int ORDER_BITS = 32;
 
-int64_t lease_deadline(const pool& pool,
-                       leased_upstream& upstream,
-                       unix_ms now) {
-  if (!upstream.clock_offset_ms)
-    return 0;
-  auto longest = static_cast<int64_t>(
-      static_cast<double>(pool.options.lease_ms) / SLOWEST_CLOCK);
-  upstream.leases_expire_ms =
-      std::max(upstream.leases_expire_ms, now + longest + LEASE_MARGIN_MS);
-  return now + *upstream.clock_offset_ms + pool.options.lease_ms;
-}
-
 run_order make_order(pool& pool,
                      order_kind kind,
                      const leased_upstream& upstream,
@@ -67,11 +54,16 @@
     stop_run(pool, upstream, name, now, out);
     return;
   }
+  int64_t lease_deadline_ms = extend_lease(pool, upstream, now);
+  if (lease_deadline_ms == 0) {
+    stop_run(pool, upstream, name, now, out);
+    return;
+  }
   run_order order = make_order(pool, order_kind::start, upstream, now);
   order.task = name;
   order.attempt = run.attempt;
   order.spec = job->request.spec();
-  order.lease_deadline_ms = lease_deadline(pool, upstream, now);
+  order.lease_deadline_ms = lease_deadline_ms;
   run.resend_ms = INT64_MAX;
   issue(pool, std::move(order), out);
 }
@@ -151,9 +143,12 @@
   run_order order = make_order(pool, order_kind::renewal, upstream, now);
   order.last_end_number = upstream.last_end_number;
   if (upstream.reachable && upstream.listed) {
-    order.lease_deadline_ms = lease_deadline(pool, upstream, now);
-    order.wait_ms = wait_ms;
-    order.reply_deadline_ms += wait_ms;
+    order.lease_deadline_ms = extend_lease(pool, upstream, now);
+    bool limited =
+        lease_limit(pool, upstream) < now + pool.options.lease_ms / 2;
+    order.wait_ms =
+        limited ? std::min(wait_ms, LIMITED_RENEWAL_WAIT_MS) : wait_ms;
+    order.reply_deadline_ms += order.wait_ms;
   }
   upstream.renewal_order = order.id;
   upstream.renewal_sent_ms = now;
--- a/cyclamenwood/testing/pool_fixture.h
+++ b/cyclamenwood/testing/pool_fixture.h
@@ -108,7 +108,8 @@
     fake_upstream* upstream = find(order.upstream);
     upstream->advance(now);
     bool silent = unreachable.contains(order.upstream) ||
-                  (order.kind == order_kind::start && drop_starts > 0);
+                  (order.kind == order_kind::start && drop_starts > 0) ||
+                  (order.kind == order_kind::stop && drop_stops);
     if (silent) {
       if (now < order.reply_deadline_ms) {
         waiting.push_back({sent, order});
@@ -150,6 +151,7 @@
   std::vector<std::pair<std::string, wire::run_result>> reported;
   std::set<std::string> unreachable;
   int drop_starts = 0;
+  bool drop_stops = false;
   bool keep_peers = true;
 };
 
--- a/cyclamenwood/testing/pool_load_test.cc
+++ b/cyclamenwood/testing/pool_load_test.cc
@@ -100,7 +100,7 @@
   own(1);
   run_until(now + 20);
   update_peer(state, "e1", 1, now, now, out);
-  release_runs(state, 7, now, out);
+  release_runs(state, 7, now, now, out);
   ask(request(7, "j1", 1));
   run_until(now + 300);
   EXPECT_EQ(upstream.starts(), 0U);
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -118,13 +118,13 @@
   run_until(now + 20);
   ask(request(1, "j1", 1));
   ask(request(2, "j2", 1));
-  EXPECT_FALSE(release_runs(state, 1, now, out));
-  EXPECT_TRUE(release_runs(state, 2, now, out));
+  EXPECT_FALSE(release_runs(state, 1, now, now, out));
+  EXPECT_TRUE(release_runs(state, 2, now, now, out));
   // The first confirmation was lost.
-  EXPECT_FALSE(release_runs(state, 1, now, out));
-  EXPECT_TRUE(release_runs(state, 2, now, out));
+  EXPECT_FALSE(release_runs(state, 1, now, now, out));
+  EXPECT_TRUE(release_runs(state, 2, now, now, out));
   // Its request was lost or is on its way.
-  EXPECT_FALSE(release_runs(state, 3, now, out));
+  EXPECT_FALSE(release_runs(state, 3, now, now, out));
   flush();
 }
 
@@ -199,6 +199,73 @@
   EXPECT_TRUE(upstream.runs().empty());
 }
 
+TEST_F(pool_fixture, changes_of_owner_do_not_keep_a_run_that_nobody_wants) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 1U);
+  unix_ms sent_again_ms = now + state.options.resubmission_ms;
+  for (uint64_t token = 2; now < sent_again_ms; ++token) {
+    own(token);
+    run_until(std::min(now + 300, sent_again_ms));
+  }
+  EXPECT_TRUE(upstream.runs().empty());
+}
+
+TEST_F(pool_fixture, an_unanswered_stop_does_not_keep_a_run) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 1U);
+  keep_peers = false;
+  drop_stops = true;
+  run_until(now + state.options.resubmission_ms);
+  EXPECT_TRUE(upstream.runs().empty());
+}
+
+TEST_F(pool_fixture, a_release_that_arrives_late_does_not_keep_a_run) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  run_until(now + 50);
+  unix_ms released_ms = now;
+  run_until(now + 500);
+  ASSERT_EQ(upstream.runs().size(), 1U);
+  drop_stops = true;
+  release_runs(state, 1, released_ms, now, out);
+  flush();
+  run_until(released_ms + state.options.resubmission_ms);
+  EXPECT_TRUE(upstream.runs().empty());
+}
+
+TEST_F(pool_fixture, a_stopped_run_does_not_shorten_the_lease_of_others) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(2'500);
+  own(1);
+  run_until(now + 20);
+  wire::run_request wanted = request(1, "j1", 1);
+  wanted.set_estimate_ms(2'500);
+  ask(wanted, "e1");
+  wire::run_request dropped = request(2, "j2", 1);
+  dropped.set_estimate_ms(2'500);
+  ask(dropped, "e2");
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 2U);
+  release_runs(state, 2, 0, now, out);
+  flush();
+  run_until(now + 2'600);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+  EXPECT_EQ(upstream.starts(), 2U);
+}
+
 // Regression (random run 2710): a request was delayed while the owner was
 // suspended. By then its sender had failed and the job was in progress
 // elsewhere.
@@ -477,7 +544,7 @@
   run_until(now + 600);
   ASSERT_TRUE(second.runs().empty());
   ASSERT_EQ(first.runs().size(), 1U);
-  release_runs(state, 1, now, out);
+  release_runs(state, 1, now, now, out);
   flush();
   run_until(now + 100);
   EXPECT_TRUE(first.runs().empty());
@@ -515,7 +582,7 @@
   ask(request(1, "j1", 1));
   run_until(now + 50);
   ASSERT_EQ(first.runs().size(), 1U);
-  release_runs(state, 1, now, out);
+  release_runs(state, 1, now, now, out);
   flush();
   ask(request(2, "j2", 1));
   for (const sent_order& sent : waiting)
