A task waits until its late start is barred on a restarted upstream

A start was never answered, and its stop settled the attempt. The upstream was started again and knew nothing of the stop. The owner sent it the stop again, but started the task elsewhere at the same time, so that the late start could be carried out beside it.

The stop that is sent again now counts as the place of the task, which starts elsewhere only when it is acknowledged.

Evidence: pool_fixture.a_task_waits_until_its_late_start_is_barred_again failed before (a start on the second upstream).

--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -66,8 +66,9 @@
 // its capacity becomes, so that nothing starts beside it.
 wire::room unknown_need();
 
-// Orders stops of the starts that this incarnation would still carry out.
-void bar_unanswered_starts(leased_upstream& upstream, unix_ms now);
+// Orders stops of the starts that this incarnation would still carry out. Their
+// tasks are not started elsewhere before the stops are acknowledged.
+void bar_unanswered_starts(pool& pool, leased_upstream& upstream, unix_ms now);
 
 // The upstream was restarted under the same id, so that its end numbers and its
 // clock start again. A run may belong to the previous incarnation, which has
@@ -76,7 +77,8 @@
 // which did not receive any stop: the stop is sent to it again. It may have
 // another capacity and other labels than the last one, so that it gets no task
 // before it has announced itself.
-void begin_new_incarnation(leased_upstream& upstream,
+void begin_new_incarnation(pool& pool,
+                           leased_upstream& upstream,
                            uint64_t incarnation,
                            unix_ms now,
                            pool_output& out);
--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -361,7 +361,7 @@
                                       upstream.runs.size())});
   bool restarted = reply.incarnation > upstream.info.incarnation();
   if (restarted) {
-    begin_new_incarnation(upstream, reply.incarnation, now, out);
+    begin_new_incarnation(pool, upstream, reply.incarnation, now, out);
     read_clock(upstream, reply.clock_ms, now);
   }
   for (const listed_end& end : reply.ended)
@@ -369,7 +369,7 @@
   for (const listed_run& run : reply.running)
     process_listed_run(pool, upstream, run, now, out);
   end_absent_runs(pool, upstream, reply, sent_ms, now, out);
-  bar_unanswered_starts(upstream, now);
+  bar_unanswered_starts(pool, upstream, now);
   pool.placement_due = pool.placement_due || !upstream.listed || !was_reachable;
   if (!std::exchange(upstream.listed, true))
     assume_longest_lease(pool, upstream, now);
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -163,7 +163,7 @@
   return need;
 }
 
-void bar_unanswered_starts(leased_upstream& upstream, unix_ms now) {
+void bar_unanswered_starts(pool& pool, leased_upstream& upstream, unix_ms now) {
   for (const auto& [name, start] : upstream.unanswered_starts) {
     if (start.barred_in == upstream.info.incarnation())
       continue;
@@ -176,10 +176,12 @@
     reserve_resources(upstream, run.need);
     run.state = run_state::stopping;
     run.resend_ms = now;
+    pool.placed.try_emplace(name, upstream.info.id());
   }
 }
 
-void begin_new_incarnation(leased_upstream& upstream,
+void begin_new_incarnation(pool& pool,
+                           leased_upstream& upstream,
                            uint64_t incarnation,
                            unix_ms now,
                            pool_output& out) {
@@ -204,7 +206,7 @@
     run.absence_valid_from_ms = INT64_MAX;
     run.resend_ms = now;
   }
-  bar_unanswered_starts(upstream, now);
+  bar_unanswered_starts(pool, upstream, now);
 }
 
 void end_run(pool& pool,
@@ -276,7 +278,7 @@
   bool is_leaving = !restarted && known.info.state() == wire::UPSTREAM_LEAVING;
   pool.placement_due = true;
   if (restarted)
-    begin_new_incarnation(known, announced.incarnation(), now, out);
+    begin_new_incarnation(pool, known, announced.incarnation(), now, out);
   else if (!added)
     log_capacity_change(known, announced, out);
   known.info = announced;
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -487,6 +487,29 @@
   EXPECT_EQ(first.carry_out(late, now).outcome, order_outcome::stale_attempt);
 }
 
+// Random run 369 with a third of the orders late.
+TEST_F(pool_fixture, a_task_waits_until_its_late_start_is_barred_again) {
+  fake_upstream& first = add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  drop_starts = 3;
+  ask(request(1, "j1", 1));
+  while (!state.upstreams["u1"].runs.empty() && now < 1'002'000)
+    run_until(now + STEP_MS);
+  ASSERT_TRUE(state.upstreams["u1"].runs.empty());
+  drop_stops = true;
+  first.restart(now);
+  run_until(now + 20);
+  update_upstream(state, first.info(), now, out);
+  run_until(now + 20);
+  fake_upstream& second = add_upstream("u2", 1000);
+  run_until(now + 300);
+  EXPECT_EQ(second.starts(), 0U);
+  drop_stops = false;
+  run_until(now + 800);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+}
+
 TEST_F(pool_fixture, a_rejected_task_is_not_started_by_its_unanswered_order) {
   fake_upstream& first = add_upstream("u1", 1000);
   own(1);
