A resumed task waits for runs of an owner that was replaced long ago

An owner that is cut off from the replicas does not know that it was replaced, and keeps the runs of entry hosts that exchange hellos with it. A successor that does not know one of its upstreams waited for the leases from the time of its own grant. An entry host that learns of the grant later than that sends its request after the wait, and the task was started beside the former owner's run.

The wait now begins with the request: its sender exchanges no hellos with the former owner any more. Entry hosts name former upstreams only as long as runs may exist there.

Evidence: pool_fixture.a_late_resumed_request_waits_for_unknown_upstreams failed before. after_a_suspension_no_unanswered_start_is_repeated is another check of the bound of leases and passed already.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -202,7 +202,7 @@
   const wire::owner_grant& grant = intake.grants.at(name);
   if (const pool_view* pool = find_current_pool(intake, name)) {
     request.set_echo_ms(pool->clock_ms);
-    if (request.resumed())
+    if (request.resumed() && now - pool->first_contact_ms < FORMER_RUNS_MS)
       *request.mutable_former_upstreams() = {pool->former_upstreams.begin(),
                                              pool->former_upstreams.end()};
   }
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -178,6 +178,8 @@
   wire::run_request request;
   unix_ms deadline_ms = 0;
   unix_ms objective_ms = 0;
+  // When it was first requested here.
+  unix_ms requested_ms = 0;
   // Upstreams where a previous owner may have started tasks of the job.
   std::vector<std::string> former_upstreams;
   // One of the tasks may have run: its start was ordered, perhaps by a previous
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -295,6 +295,7 @@
     job.request = request;
     job.request.clear_tasks();
     job.request.clear_losses();
+    job.requested_ms = now;
     job.deadline_ms = now + request.remaining_ms();
     job.objective_ms = now + request.aim_ms();
     job.started = request.resumed();
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -47,10 +47,18 @@
 // Runs that a previous owner started may not have been listed yet. A resumed
 // job therefore waits until all known upstreams have been listed, including
 // those that its entry host named, or until all leases that the previous owner
-// requested must have expired.
+// requested must have expired. That one may not know that it was replaced. It
+// extends leases for the job's tasks as long as their entry host exchanges
+// hellos with it, which may be longer than this process is the owner, but ends
+// before the first request arrives here.
 bool must_wait_for_lists(const pool& pool, const pool_job& job, unix_ms now) {
-  if (!job.request.resumed() ||
-      now > pool.owned_since_ms + pool.options.lease_ms + ADOPTION_WINDOW_MS)
+  unix_ms former_runs_since_ms =
+      job.former_upstreams.empty()
+          ? pool.owned_since_ms
+          : std::max(pool.owned_since_ms, job.requested_ms);
+  bool former_runs_are_over =
+      now > former_runs_since_ms + pool.options.lease_ms + ADOPTION_WINDOW_MS;
+  if (!job.request.resumed() || former_runs_are_over)
     return false;
   bool unlisted =
       std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -296,6 +296,39 @@
 
 // Regression (score 85378f11): a job was reported as not started though a start
 // had been ordered for one of its tasks.
+TEST_F(pool_fixture, after_a_suspension_no_unanswered_start_is_repeated) {
+  add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  drop_starts = 1;
+  ask(request(1, "j1", 1));
+  for (const auto& [id, order] : std::map(state.orders)) {
+    if (order.kind == order_kind::start)
+      order_replied(state, id, {}, now, out);
+  }
+  waiting.clear();
+  out.orders.clear();
+  now += 2000;
+  tick_pool(state, now, out);
+  for (const run_order& order : out.orders)
+    EXPECT_NE(order.kind, order_kind::start);
+}
+
+// Its sender learned of the change of owner 2 s after this owner did.
+TEST_F(pool_fixture, a_late_resumed_request_waits_for_unknown_upstreams) {
+  fake_upstream& upstream = add_upstream("u1");
+  own(1);
+  run_until(now + 2000);
+  wire::run_request again = request(1, "j1", 1);
+  again.set_resumed(true);
+  again.add_former_upstreams("u9");
+  ask(again);
+  run_until(now + state.options.lease_ms);
+  EXPECT_EQ(upstream.starts(), 0U);
+  run_until(now + 1000);
+  EXPECT_EQ(upstream.starts(), 1U);
+}
+
 TEST_F(pool_fixture, an_expired_job_with_an_ordered_task_counts_as_started) {
   add_upstream("u1", 1000).set_run_ms(5000);
   own(1);
