Nothing is started on an upstream whose clock is not known

What callers saw: nothing so far. An upstream that was started again under its id and had announced itself got tasks before its first list, so with a start order without a lease, which it can't carry out and may reject as invalid; that counted as a failed attempt.

Such an upstream takes no work until its clock was read. Test: pool_fixture.nothing_is_started_before_the_upstreams_clock_is_known.

--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -139,7 +139,7 @@
 }  // namespace
 
 bool may_take_work(const leased_upstream& upstream, unix_ms now) {
-  return upstream.listed && upstream.reachable &&
+  return upstream.listed && upstream.reachable && upstream.clock_offset_ms &&
          upstream.info.state() == wire::UPSTREAM_READY &&
          now >= upstream.backoff_until_ms && !upstream.isolated &&
          !(upstream.on_probation && !upstream.runs.empty());
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -329,6 +329,20 @@
   EXPECT_EQ(upstream.starts(), 1U);
 }
 
+TEST_F(pool_fixture, nothing_is_started_before_the_upstreams_clock_is_known) {
+  fake_upstream& upstream = add_upstream("u1");
+  own(1);
+  run_until(now + 20);
+  upstream.restart(now);
+  update_upstream(state, upstream.info(), now, out);
+  ask(request(1, "j1", 1));
+  for (const sent_order& sent : waiting)
+    EXPECT_EQ(sent.order.kind, order_kind::renewal);
+  run_until(now + 500);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+  EXPECT_EQ(count(wire::RUN_FAILED), 0U);
+}
+
 TEST_F(pool_fixture, an_expired_job_with_an_ordered_task_counts_as_started) {
   add_upstream("u1", 1000).set_run_ms(5000);
   own(1);
