A request whose caller has left is not handled

What callers saw: a task may run twice. A host that was slow or suspended reads requests that waited in its sockets. A caller that has left meanwhile submits its job again elsewhere, but the host started the tasks before it looked whether the connection was still open.

The state of the connection is read before a request is handled.

Evidence: http_server_fixture.a_request_whose_caller_has_left_is_not_handled failed before (the request was passed to the handler).

--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -5,11 +5,14 @@
 // answer.
 //
 // While a connection is suspended, libmicrohttpd does not watch its socket, so
-// the event loop does, to detect that the caller has disconnected.
+// the event loop does, to detect that the caller has disconnected. A request
+// may also have waited in the socket until its caller left, if this process was
+// slow or suspended; it is not passed to the handler.
 #include "cyclamenwood/http_server.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fmt/format.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -17,8 +20,11 @@
 
 #include <charconv>
 #include <map>
+#include <optional>
 #include <utility>
 
+#include "cyclamenwood/util/log.h"
+
 namespace cyclamenwood {
 namespace {
 
@@ -30,6 +36,33 @@
 // Placeholder that is never sent, as the connection is closed already.
 constexpr int STATUS_CALLER_DISCONNECTED = 503;
 
+enum class caller_state { waiting, sends_more, disconnected };
+
+// Reads the state of a connection whose request was received. The end of the
+// stream or an error means that the caller has disconnected.
+caller_state read_caller_state(int socket) {
+  char byte = 0;
+  ssize_t got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0)
+    return caller_state::sends_more;
+  bool is_open = got < 0 && (errno == EAGAIN || errno == EINTR);
+  return is_open ? caller_state::waiting : caller_state::disconnected;
+}
+
+// Returns nullopt if libmicrohttpd does not tell.
+std::optional<int> socket_of(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info == nullptr)
+    return std::nullopt;
+  return info->connect_fd;
+}
+
+bool has_disconnected(MHD_Connection* connection) {
+  std::optional<int> socket = socket_of(connection);
+  return socket && read_caller_state(*socket) == caller_state::disconnected;
+}
+
 result<sockaddr_in> parse_address(const std::string& address) {
   size_t colon = address.rfind(':');
   sockaddr_in parsed{};
@@ -194,6 +227,8 @@
       exchange.handled = true;
       if (exchange.too_large)
         exchange.answer = too_large_answer();
+      else if (has_disconnected(exchange.connection))
+        exchange.answer = discard(exchange.request);
       else
         handle(std::move(exchange.request));
     }
@@ -205,14 +240,21 @@
     return MHD_YES;
   }
 
+  // Returns a placeholder for the answer.
+  static api_answer discard(const http_request& request) {
+    log_line(log_level::info, "request_discarded",
+             fmt::format("method={} bytes={} reason=caller_disconnected",
+                         request.method, request.body.size()));
+    return {STATUS_CALLER_DISCONNECTED, "", {}};
+  }
+
   void watch_caller(exchange_state& exchange) {
-    const MHD_ConnectionInfo* info = MHD_get_connection_info(
-        exchange.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    if (info == nullptr)
+    std::optional<int> socket = socket_of(exchange.connection);
+    if (!socket)
       return;
     exchange.server = this;
-    ev_io_init(&exchange.caller, &implementation::on_caller_readable,
-               info->connect_fd, EV_READ);
+    ev_io_init(&exchange.caller, &implementation::on_caller_readable, *socket,
+               EV_READ);
     exchange.caller.data = &exchange;
     ev_io_start(loop.raw(), &exchange.caller);
   }
@@ -226,21 +268,16 @@
   }
 
   // Called when the socket of a suspended connection is readable. Bytes of a
-  // following request end the watch; the end of the stream or an error means
-  // that the caller has disconnected.
+  // following request end the watch.
   static void on_caller_readable(struct ev_loop* loop,
                                  ev_io* watcher,
                                  int /*events*/) {
     auto& exchange = *static_cast<exchange_state*>(watcher->data);
-    char byte = 0;
-    ssize_t got = ::recv(watcher->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    bool spurious = got < 0 && (errno == EAGAIN || errno == EINTR);
-    if (spurious)
-      return;
-    if (got > 0) {
+    caller_state state = read_caller_state(watcher->fd);
+    if (state == caller_state::sends_more)
       ev_io_stop(loop, watcher);
+    if (state != caller_state::disconnected)
       return;
-    }
     implementation& self = *exchange.server;
     uint64_t id = exchange.id;
     exchange.answer = api_answer{STATUS_CALLER_DISCONNECTED, "", {}};
--- a/cyclamenwood/testing/http_server_test.cc
+++ b/cyclamenwood/testing/http_server_test.cc
@@ -29,6 +29,7 @@
             http_settings(),
             [this](const http_request& request) {
               open.push_back(request.exchange);
+              ++handled;
             },
             [](uint64_t /*exchange*/) {}) {}
 
@@ -56,6 +57,7 @@
 
   event_loop loop;
   std::vector<uint64_t> open;
+  int handled = 0;
   http_server server;
 };
 
@@ -70,6 +72,16 @@
   }
 }
 
+TEST_F(http_server_fixture, a_request_whose_caller_has_left_is_not_handled) {
+  {
+    raw_http caller(address());
+    caller.send(raw_http::post("/x", "{}"));
+  }
+  raw_http next(address());
+  ASSERT_TRUE(exchange(next));
+  EXPECT_EQ(handled, 1);
+}
+
 // Guards against two processes listening on the same address without an error,
 // each of them receiving a part of the connections.
 TEST_F(http_server_fixture, an_address_in_use_is_refused) {
