A run does not inherit a lease beyond its limit

An entry host that died counts as alive for 600 ms. A task that its owner started for it meanwhile got a short lease of its own, but the lease of its upstream was longer already, and starts don't shorten it. If the stop was not carried out, or the owner failed too, the task outlasted the time after which its job was submitted again.

A task is started only where the present lease ends before that time as well.

--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -110,6 +110,14 @@
 // of a run that nobody is known to want until then; INT64_MAX: none.
 unix_ms lease_limit(const pool& pool, const leased_upstream& upstream);
 
+// Whether a run that starts now would end before its job may be submitted
+// again, whatever fails, and would last for long enough otherwise.
+// `contact_ms`: when its entry host was last known to be alive.
+bool may_start_under_lease(const pool& pool,
+                           const leased_upstream& upstream,
+                           unix_ms contact_ms,
+                           unix_ms now);
+
 // Returns the deadline of a lease that begins now, on the upstream's clock; 0
 // if the lease can't be extended.
 int64_t extend_lease(const pool& pool, leased_upstream& upstream, unix_ms now);
--- a/cyclamenwood/pool_leases.cc
+++ b/cyclamenwood/pool_leases.cc
@@ -18,6 +18,9 @@
 // - Found by a new owner and not requested so far: no extension. That of the
 //   former owner obeyed the limit.
 //
+// A start can't shorten the lease that its upstream already has. A task is
+// therefore started only where that lease ends in time too.
+//
 // The price: if stops remain unanswered for as long, the other runs on the
 // upstream end with the lease.
 #include <algorithm>
@@ -34,6 +37,11 @@
 // The time by which runs end before their job may be submitted again. An entry
 // host that exits may exchange hellos for 100 ms after its last answers.
 constexpr int64_t RESUBMISSION_MARGIN_MS = 200;
+// The part of that margin that a new run needs: its entry host is alive.
+constexpr int64_t START_MARGIN_MS = 20;
+// A task whose lease may be no longer than this would hardly outlive the next
+// two renewals.
+constexpr int64_t MIN_START_LEASE_MS = 2 * RENEWAL_WAIT_MS;
 
 unix_ms limit_of_contact(const pool& pool, unix_ms contact_ms) {
   return contact_ms + pool.options.resubmission_ms - RESUBMISSION_MARGIN_MS;
@@ -68,6 +76,15 @@
   return limit_ms;
 }
 
+bool may_start_under_lease(const pool& pool,
+                           const leased_upstream& upstream,
+                           unix_ms contact_ms,
+                           unix_ms now) {
+  return upstream.leases_expire_ms <=
+             contact_ms + pool.options.resubmission_ms - START_MARGIN_MS &&
+         lease_limit(pool, upstream) >= now + MIN_START_LEASE_MS;
+}
+
 int64_t extend_lease(const pool& pool, leased_upstream& upstream, unix_ms now) {
   int64_t left_ms = lease_limit(pool, upstream) - now;
   if (!upstream.clock_offset_ms || left_ms <= LEASE_MARGIN_MS)
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -24,10 +24,6 @@
 namespace cyclamenwood {
 namespace {
 
-// A task whose lease may be no longer than this would hardly outlive the next
-// two renewals.
-constexpr int64_t MIN_START_LEASE_MS = 2 * RENEWAL_WAIT_MS;
-
 bool fits(const wire::room& need, const resource_amount& free) {
   return need.cpu_milli() <= free.cpu_milli &&
          need.memory_mb() <= free.memory_mb &&
@@ -169,8 +165,10 @@
                                  unix_ms now) {
   const wire::run_request& request = job.request;
   auto peer = pool.peers.find(job.from);
-  uint64_t known_version =
-      peer == pool.peers.end() ? 0 : peer->second.known_upstreams_version;
+  if (peer == pool.peers.end())
+    return nullptr;
+  const auto& [last_contact_ms, known_version] = std::pair(
+      peer->second.last_contact_ms, peer->second.known_upstreams_version);
   leased_upstream* best = nullptr;
   preference best_preference;
   for (auto& [id, upstream] : pool.upstreams) {
@@ -182,7 +180,7 @@
       continue;
     resource_amount free = free_resources(upstream);
     if (!fits(request.need(), free) || upstream.runs.contains(name) ||
-        lease_limit(pool, upstream) < now + MIN_START_LEASE_MS)
+        !may_start_under_lease(pool, upstream, last_contact_ms, now))
       continue;
     preference offered{task.failed_on.contains(id),
                        !has_label(upstream.info, request.rack()),
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -246,6 +246,37 @@
   EXPECT_TRUE(upstream.runs().empty());
 }
 
+TEST_F(pool_fixture, a_run_does_not_inherit_a_lease_beyond_its_limit) {
+  for (int64_t silent_ms = 0; silent_ms < PEER_TIMEOUT_MS; silent_ms += 50) {
+    SCOPED_TRACE(silent_ms);
+    std::string id = "u" + std::to_string(silent_ms);
+    fake_upstream& upstream = add_upstream(id, 2000);
+    upstream.set_run_ms(10'000);
+    own(state.highest_token + 1);
+    run_until(now + 20);
+    ask(request(now, "keeps_the_lease", 1), "e2");
+    ask(request(now + 1, "j1", 1), "e1");
+    unix_ms contact_ms = now;
+    release_runs(state, now + 1, now, now, out);
+    run_until(now + 100);
+    state.peers["e1"].last_contact_ms = now - silent_ms;
+    contact_ms = now - silent_ms;
+    request_runs(state, "e1", request(now + 2, "j2", 1), now, out);
+    flush();
+    drop_stops = true;
+    keep_peers = false;
+    while (now < contact_ms + state.options.resubmission_ms) {
+      run_until(now + STEP_MS);
+      say_hello("e2", 1);
+    }
+    upstream.advance(now);
+    EXPECT_FALSE(upstream.runs().contains("j2.0.0.0"));
+    drop_stops = false;
+    keep_peers = true;
+    unreachable.insert(id);
+  }
+}
+
 TEST_F(pool_fixture, a_stopped_run_does_not_shorten_the_lease_of_others) {
   fake_upstream& upstream = add_upstream("u1");
   upstream.set_run_ms(2'500);
