An unconfirmed release limits the leases of its entry host's runs

A release that was lost twice while hellos arrived reached its owner after up to 700 ms, with leases extended until then. If stops failed too, the run outlasted the time after which its job was submitted again.

Hellos name the earliest release that is not confirmed. Until it is, leases are limited as if the entry host had been silent since then.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -551,6 +551,7 @@
     hello.set_requests(pool->requests_sent);
     hello.set_have_upstreams(pool->upstreams_version);
     hello.set_have_losses(pool->have_losses);
+    hello.set_unconfirmed_echo_ms(unconfirmed_echo_ms(intake, name));
   }
   return hello;
 }
--- a/cyclamenwood/intake_end.cc
+++ b/cyclamenwood/intake_end.cc
@@ -196,6 +196,16 @@
   });
 }
 
+int64_t unconfirmed_echo_ms(const intake& intake, const std::string& pool) {
+  int64_t earliest_ms = 0;
+  for (const auto& [id, release] : intake.releases) {
+    bool is_earlier = earliest_ms == 0 || release.echo_ms < earliest_ms;
+    if (id.second == pool && release.echo_ms > 0 && is_earlier)
+      earliest_ms = release.echo_ms;
+  }
+  return earliest_ms;
+}
+
 void tick_releases(intake& intake, unix_ms now, intake_output& out) {
   std::erase_if(intake.releases, [now](const auto& item) {
     return now >= item.second.expires_ms;
--- a/cyclamenwood/intake_internal.h
+++ b/cyclamenwood/intake_internal.h
@@ -48,6 +48,10 @@
                 unix_ms now,
                 intake_output& out);
 
+// The earliest echo of the releases that the pool's owner has not confirmed; 0
+// if there is none.
+int64_t unconfirmed_echo_ms(const intake& intake, const std::string& pool);
+
 // Sends the releases again that are due.
 void tick_releases(intake& intake, unix_ms now, intake_output& out);
 
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -209,6 +209,9 @@
   // received. Unlike the time of arrival, it does not make a message look
   // recent that waited while this process was suspended.
   unix_ms last_contact_ms = 0;
+  // Some run may not be wanted since then: the peer waits for the confirmation
+  // of a release.
+  unix_ms unconfirmed_release_ms = INT64_MAX;
   uint64_t incarnation = 0;
   // Counts of messages in each direction. The counts of the two sides differ
   // when messages were lost.
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -401,6 +401,8 @@
   pool.placement_due = pool.placement_due ||
                        hello.have_upstreams() > peer.known_upstreams_version;
   peer.known_upstreams_version = hello.have_upstreams();
+  peer.unconfirmed_release_ms =
+      hello.unconfirmed_echo_ms() > 0 ? hello.unconfirmed_echo_ms() : INT64_MAX;
   state.set_upstreams_version(pool.upstreams_version);
   if (hello.have_upstreams() == pool.upstreams_version)
     return state;
--- a/cyclamenwood/pool_leases.cc
+++ b/cyclamenwood/pool_leases.cc
@@ -12,7 +12,8 @@
 //
 // - Requested by an entry host: the time when that was last known to be alive,
 //   plus the time until callers submit their jobs again. A host that exchanges
-//   hellos moves the limit ahead of the lease.
+//   hellos moves the limit ahead of the lease, but not while it has sent a
+//   release that was not confirmed.
 // - Not wanted any more, but its stop was not acknowledged: the same, from the
 //   time when it was last known to be wanted.
 // - Found by a new owner and not requested so far: no extension. That of the
@@ -57,9 +58,10 @@
   if (job == pool.jobs.end())
     return 0;
   auto peer = pool.peers.find(job->second.from);
-  return peer == pool.peers.end()
-             ? 0
-             : limit_of_contact(pool, peer->second.last_contact_ms);
+  if (peer == pool.peers.end())
+    return 0;
+  return limit_of_contact(pool, std::min(peer->second.last_contact_ms,
+                                         peer->second.unconfirmed_release_ms));
 }
 
 int64_t longest_lease(int64_t length_ms) {
--- a/cyclamenwood/testing/pool_fixture.h
+++ b/cyclamenwood/testing/pool_fixture.h
@@ -68,6 +68,7 @@
     wire::pool_hello hello;
     hello.set_requests(state.peers[from].requests_received);
     hello.set_have_upstreams(state.upstreams_version);
+    hello.set_unconfirmed_echo_ms(unconfirmed_echo_ms);
     answer_hello(state, from, hello, now);
   }
 
@@ -152,6 +153,7 @@
   std::set<std::string> unreachable;
   int drop_starts = 0;
   bool drop_stops = false;
+  int64_t unconfirmed_echo_ms = 0;
   bool keep_peers = true;
 };
 
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -1,6 +1,7 @@
 // Tests of the pool with in-process upstreams: runs, leases, changes of owner.
 #include <gtest/gtest.h>
 
+#include "cyclamenwood/intake.h"
 #include "cyclamenwood/testing/pool_fixture.h"
 
 namespace cyclamenwood {
@@ -234,16 +235,36 @@
   upstream.set_run_ms(10'000);
   own(1);
   run_until(now + 20);
-  ask(request(1, "j1", 1));
-  run_until(now + 50);
-  unix_ms released_ms = now;
-  run_until(now + 500);
-  ASSERT_EQ(upstream.runs().size(), 1U);
-  drop_stops = true;
-  release_runs(state, 1, released_ms, now, out);
-  flush();
-  run_until(released_ms + state.options.resubmission_ms);
-  EXPECT_TRUE(upstream.runs().empty());
+  for (int64_t delay_ms = 0; delay_ms <= 700; delay_ms += STEP_MS) {
+    SCOPED_TRACE(delay_ms);
+    auto submission = static_cast<uint64_t>(now);
+    ask(request(submission, "j" + std::to_string(submission), 1));
+    run_until(now + 50);
+    ASSERT_EQ(upstream.runs().size(), 1U);
+    unix_ms released_ms = now;
+    unconfirmed_echo_ms = released_ms;
+    run_until(now + delay_ms);
+    drop_stops = true;
+    release_runs(state, submission, released_ms, now, out);
+    flush();
+    unconfirmed_echo_ms = 0;
+    run_until(released_ms + state.options.resubmission_ms);
+    EXPECT_TRUE(upstream.runs().empty());
+    drop_stops = false;
+    run_until(now + 2'000);
+  }
+}
+
+TEST(intake, a_hello_names_the_earliest_unconfirmed_release) {
+  intake sender;
+  wire::owner_grant& grant = sender.grants["kranj"];
+  grant.set_token(7);
+  sender.pools["kranj"].token = 7;
+  EXPECT_EQ(make_pool_hello(sender, "kranj").unconfirmed_echo_ms(), 0);
+  sender.releases[{1, "kranj"}].echo_ms = 500;
+  sender.releases[{2, "kranj"}].echo_ms = 400;
+  sender.releases[{3, "vic"}].echo_ms = 300;
+  EXPECT_EQ(make_pool_hello(sender, "kranj").unconfirmed_echo_ms(), 400);
 }
 
 TEST_F(pool_fixture, a_run_does_not_inherit_a_lease_beyond_its_limit) {
