Leases leave time for starts before a resubmission

A task is not started on an upstream whose present lease ends too late for it. With leases of 1 s that was so for entry hosts not heard from for 230 ms, and the margin did not cover a host that exits 100 ms after its last answers. Leases are now 0.4 s shorter than the time until resubmission (900 ms), and the margin of starts is 100 ms.

--- a/cyclamenwood/pool_leases.cc
+++ b/cyclamenwood/pool_leases.cc
@@ -38,8 +38,11 @@
 // The time by which runs end before their job may be submitted again. An entry
 // host that exits may exchange hellos for 100 ms after its last answers.
 constexpr int64_t RESUBMISSION_MARGIN_MS = 200;
-// The part of that margin that a new run needs: its entry host is alive.
-constexpr int64_t START_MARGIN_MS = 20;
+// The part of that margin that a new run needs.
+constexpr int64_t START_MARGIN_MS = RESUBMISSION_MARGIN_MS / 2;
+// The longest lease is shorter than the time until resubmission by this much,
+// so that it keeps away no task of an entry host that exchanges hellos.
+constexpr int64_t LEASE_RESERVE_MS = 2 * RESUBMISSION_MARGIN_MS;
 // A task whose lease may be no longer than this would hardly outlive the next
 // two renewals.
 constexpr int64_t MIN_START_LEASE_MS = 2 * RENEWAL_WAIT_MS;
@@ -64,6 +67,11 @@
                                          peer->second.unconfirmed_release_ms));
 }
 
+int64_t usual_lease_ms(const pool& pool) {
+  return std::min(pool.options.lease_ms,
+                  pool.options.resubmission_ms - LEASE_RESERVE_MS);
+}
+
 int64_t longest_lease(int64_t length_ms) {
   return static_cast<int64_t>(static_cast<double>(length_ms) / SLOWEST_CLOCK) +
          LEASE_MARGIN_MS;
@@ -92,7 +100,7 @@
   if (!upstream.clock_offset_ms || left_ms <= LEASE_MARGIN_MS)
     return 0;
   int64_t length_ms = std::min(
-      pool.options.lease_ms,
+      usual_lease_ms(pool),
       static_cast<int64_t>(static_cast<double>(left_ms - LEASE_MARGIN_MS) *
                            SLOWEST_CLOCK));
   upstream.leases_expire_ms =
@@ -104,7 +112,7 @@
                           leased_upstream& upstream,
                           unix_ms now) {
   upstream.leases_expire_ms = std::max(
-      upstream.leases_expire_ms, now + longest_lease(pool.options.lease_ms));
+      upstream.leases_expire_ms, now + longest_lease(usual_lease_ms(pool)));
 }
 
 }  // namespace cyclamenwood
