A run that is being stopped is not wanted again by a repeated request

Callers saw a run of a job beside the run of the job's next submission: the entry host, which was the owner too, was suspended while the caller left. When it went on, it dropped the job since it had not heard from itself, requested it again, and released it. The release took the stopped run for one that had been wanted until then, and its lease was extended.

Cause: the time until which a run was wanted was overwritten by a later one.

Change: that time only becomes earlier, as a run that is being stopped is never adopted.

--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -75,7 +75,12 @@
                 pool_output& out) {
   leased_run& run = upstream.runs.at(name);
   // 0 stands for a run that is wanted.
-  run.orphaned_ms = std::max<unix_ms>(wanted_ms, 1);
+  wanted_ms = std::max<unix_ms>(wanted_ms, 1);
+  if (run.orphaned_ms != 0) {
+    run.orphaned_ms = std::min(run.orphaned_ms, wanted_ms);
+    return;
+  }
+  run.orphaned_ms = wanted_ms;
   out.events.push_back(
       {"run_orphaned",
        fmt::format("task={} attempt={} upstream={} cause={} unwanted_ms={}",
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -230,6 +230,66 @@
   EXPECT_TRUE(upstream.runs().empty());
 }
 
+TEST_F(pool_fixture, a_lease_of_other_runs_does_not_keep_a_run_of_a_lost_host) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1), "e1");
+  say_hello("e2", 1);
+  keep_peers = false;
+  unix_ms lost_ms = now;
+  const leased_upstream& known = state.upstreams.at("u1");
+  while (now < lost_ms + 400 || known.renewal_sent_ms != now) {
+    run_until(now + STEP_MS);
+    say_hello("e1", 1);
+  }
+  request_runs(state, "e2", request(2, "j2", 1), now, out);
+  flush();
+  drop_stops = true;
+  while (now < lost_ms + state.options.resubmission_ms) {
+    run_until(now + STEP_MS);
+    say_hello("e1", 1);
+  }
+  EXPECT_FALSE(upstream.runs().contains("j2.0.0.0"));
+}
+
+TEST_F(pool_fixture, a_task_of_a_live_host_starts_beside_other_runs_at_once) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1), "e1");
+  run_until(now + 1'000);
+  keep_peers = false;
+  say_hello("e2", 1);
+  run_until(now + 100);
+  say_hello("e1", 1);
+  request_runs(state, "e2", request(2, "j2", 1), now, out);
+  flush();
+  run_until(now + 10);
+  EXPECT_TRUE(upstream.runs().contains("j2.0.0.0"));
+}
+
+TEST_F(pool_fixture, a_repeated_request_does_not_keep_a_run_that_is_stopped) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 1U);
+  unix_ms lost_ms = now;
+  keep_peers = false;
+  drop_stops = true;
+  run_until(lost_ms + PEER_TIMEOUT_MS + 100);
+  ask(request(1, "j1", 1));
+  release_runs(state, 1, now, now, out);
+  flush();
+  run_until(lost_ms + state.options.resubmission_ms);
+  EXPECT_TRUE(upstream.runs().empty());
+}
+
 TEST_F(pool_fixture, a_release_that_arrives_late_does_not_keep_a_run) {
   fake_upstream& upstream = add_upstream("u1");
   upstream.set_run_ms(10'000);
