A host that was suspended does not vouch for callers that may have left

Callers that had left a suspended entry host saw their tasks start there up to 2 s later, when they had submitted their jobs again or were about to. Such a start ran until the end of its lease if its stop was lost or the host's ownership had gone to another one meanwhile.

Cause: a host that goes on reads ticks and messages before the ends of connections. Its hellos, also to itself, and its requests then contained a recent echo, so that the owner took the callers for alive.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -30,6 +30,12 @@
 // restarted host is reached unless as many hosts before it are down.
 constexpr size_t PEER_FANOUT = 3;
 
+// A process without any event for longer than this was suspended: ticks are
+// more frequent by far.
+constexpr int64_t SUSPENSION_MS = 100;
+// Between two ticks all events that wait are read, in any order.
+constexpr int CATCH_UP_TICKS = 2;
+
 struct host_outbox {
   host_effects effects;
   // Results of own pools, by the name of the pool, with their receivers. They
@@ -492,6 +498,21 @@
     state.replicas.try_emplace(seed);
 }
 
+// A caller may have left during a suspension, and may have submitted its job
+// elsewhere, before the end of its connection is read here.
+void detect_suspension(host_entry& state,
+                       const host_event& event,
+                       unix_ms now) {
+  bool suspended =
+      state.last_event_ms != 0 && now - state.last_event_ms > SUSPENSION_MS;
+  state.last_event_ms = now;
+  if (suspended)
+    state.ticks_to_catch_up = CATCH_UP_TICKS;
+  if (std::holds_alternative<host_tick>(event) && state.ticks_to_catch_up > 0)
+    --state.ticks_to_catch_up;
+  state.callers.callers_known = state.ticks_to_catch_up == 0;
+}
+
 }  // namespace
 
 host_entry make_host_entry(const host_settings& settings,
@@ -512,8 +533,9 @@
 
 host_effects reduce(host_entry& state, const host_event& event) {
   host_outbox out;
-  std::visit([&](const auto& kind) { on_event(state, kind, out); }, event);
   unix_ms now = std::visit([](const auto& kind) { return kind.now; }, event);
+  detect_suspension(state, event, now);
+  std::visit([&](const auto& kind) { on_event(state, kind, out); }, event);
   // Messages delivered to this host may lead to further ones.
   do {
     std::vector<wire::envelope> inbox = std::move(out.to_self);
--- a/cyclamenwood/host_entry.h
+++ b/cyclamenwood/host_entry.h
@@ -115,6 +115,10 @@
   unix_ms next_replica_hello_ms = 0;
   unix_ms next_pool_hello_ms = 0;
   bool draining = false;
+  unix_ms last_event_ms = 0;
+  // Ticks until the ends of connections during a suspension of this process
+  // have been seen; 0: it was not suspended lately.
+  int ticks_to_catch_up = 0;
 };
 
 // Returns the state of a process that has just started. Submissions are
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -201,7 +201,7 @@
   const std::string& name = request.pool();
   const wire::owner_grant& grant = intake.grants.at(name);
   if (const pool_view* pool = find_current_pool(intake, name)) {
-    request.set_echo_ms(pool->clock_ms);
+    request.set_echo_ms(intake.callers_known ? pool->clock_ms : 0);
     if (request.resumed() && now - pool->first_contact_ms < FORMER_RUNS_MS)
       *request.mutable_former_upstreams() = {pool->former_upstreams.begin(),
                                              pool->former_upstreams.end()};
@@ -547,7 +547,7 @@
   wire::pool_hello hello;
   hello.set_pool(name);
   if (const pool_view* pool = find_current_pool(intake, name)) {
-    hello.set_echo_ms(pool->clock_ms);
+    hello.set_echo_ms(intake.callers_known ? pool->clock_ms : 0);
     hello.set_requests(pool->requests_sent);
     hello.set_have_upstreams(pool->upstreams_version);
     hello.set_have_losses(pool->have_losses);
--- a/cyclamenwood/testing/host_entry_test.cc
+++ b/cyclamenwood/testing/host_entry_test.cc
@@ -181,6 +181,41 @@
   }
 }
 
+// A caller may have left during the suspension and submitted its job elsewhere.
+TEST(host_entry,
+     a_suspended_host_does_not_vouch_for_callers_that_may_have_left) {
+  host_settings settings;
+  settings.rpc = "e1";
+  settings.zone = "kranj";
+  host_entry state = make_host_entry(settings, 1, [](std::string_view) {
+    return result<route_table>(route_table());
+  });
+  wire::envelope grants;
+  grants.set_from("r1");
+  wire::owner_grant& grant = *grants.mutable_control_news()->add_grants();
+  grant.set_zone("kranj");
+  grant.set_host("e2");
+  grant.set_incarnation(1);
+  grant.set_token(5);
+  reduce(state, host_received{1000, grants});
+  wire::envelope reported;
+  reported.set_from("e2");
+  reported.mutable_pool_state()->set_pool("kranj");
+  reported.mutable_pool_state()->set_token(5);
+  reported.mutable_pool_state()->set_clock_ms(1000);
+  reduce(state, host_received{1005, reported});
+  auto echo_at = [&state](unix_ms now) {
+    reduce(state, host_tick{now});
+    return make_pool_hello(state.callers, "kranj").echo_ms();
+  };
+  EXPECT_EQ(echo_at(1020), 1000);
+  EXPECT_EQ(echo_at(1040), 1000);
+  EXPECT_EQ(echo_at(1500), 0);
+  reduce(state, host_received{1501, reported});
+  EXPECT_EQ(make_pool_hello(state.callers, "kranj").echo_ms(), 0);
+  EXPECT_EQ(echo_at(1520), 1000);
+}
+
 // No replica is reachable and one entry host has restarted: it receives the
 // configuration and the grants from another entry host, but never an older
 // configuration.
