Requests whose path is not printable text are answered 400

What callers saw: nothing yet. The path is percent-decoded, and a job's id is its end. An id with bytes that are not UTF-8 (%ff) goes into run_request and the other messages of the job, which receivers reject as a whole. Line breaks in a path or a Host header (%0a) became lines of the log (call_refused, announcement_refused).

Cause: the HTTP server passed on any bytes.

Change: the HTTP server answers 400 itself if the path or a captured header is not UTF-8 without control characters.

Evidence: the two tests fail on the code before (the handler gets the request) and pass now; ordinary text, UTF-8 too, is still received.

--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -15,10 +15,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 #include <utility>
 
+#include "cyclamenwood/util/text.h"
+
 namespace cyclamenwood {
 namespace {
 
@@ -44,6 +47,13 @@
   return parsed;
 }
 
+bool is_readable(const http_request& request) {
+  return is_printable(request.path) &&
+         std::all_of(
+             request.headers.begin(), request.headers.end(),
+             [](const auto& header) { return is_printable(header.second); });
+}
+
 }  // namespace
 
 struct http_server::implementation {
@@ -141,6 +151,11 @@
                           execution::not_run, 0);
   }
 
+  static api_answer unreadable_answer() {
+    return failure_answer(error{error_code::malformed_request, "path"},
+                          execution::not_run, 0);
+  }
+
   bool content_length_exceeds_limit(MHD_Connection* connection) const {
     const char* length = MHD_lookup_connection_value(
         connection, MHD_HEADER_KIND, "Content-Length");
@@ -170,10 +185,13 @@
     }
     exchanges[exchange->id] = exchange;
     *context = exchange;
-    if (!content_length_exceeds_limit(connection))
+    if (!is_readable(exchange->request))
+      exchange->answer = unreadable_answer();
+    else if (content_length_exceeds_limit(connection))
+      exchange->answer = too_large_answer();
+    else
       return MHD_YES;
     exchange->handled = true;
-    exchange->answer = too_large_answer();
     return queue_answer(*exchange);
   }
 
--- a/cyclamenwood/http_server.h
+++ b/cyclamenwood/http_server.h
@@ -37,7 +37,9 @@
 
 class http_server {
  public:
-  // Receives each complete request, which must be answered by `respond`.
+  // Receives each complete request, which must be answered by `respond`. A
+  // request whose path or captured headers are not printable UTF-8 is answered
+  // 400 and not received, since messages and log lines take text from them.
   using handler = std::function<void(http_request)>;
   // Called when the caller of an unanswered request has disconnected.
   using disconnect_handler = std::function<void(uint64_t exchange)>;
--- a/cyclamenwood/testing/http_server_test.cc
+++ b/cyclamenwood/testing/http_server_test.cc
@@ -30,7 +30,9 @@
             [this](const http_request& request) {
               open.push_back(request.exchange);
             },
-            [](uint64_t /*exchange*/) {}) {}
+            [](uint64_t /*exchange*/) {}) {
+    server.capture_headers({"Host"});
+  }
 
   void SetUp() override { ASSERT_TRUE(ok(server.listen(ANY_PORT))); }
 
@@ -93,5 +95,34 @@
   EXPECT_TRUE(run_until([this] { return server.open_exchanges() == 1; }));
 }
 
+// Guards against messages that no receiver accepts and log lines that a caller
+// writes: both take text from the path and the Host header.
+TEST_F(http_server_fixture, a_request_whose_path_is_not_text_is_refused) {
+  for (const char* path : {"/x/%ff", "/x/%c3", "/x/%ed%a0%80", "/x/a%0ab",
+                           "/x/%0d%0aX:%20y", "/x/%1b[2J", "/x/%c2%9b"}) {
+    raw_http caller(address());
+    caller.send(raw_http::post(path, "{}"));
+    EXPECT_FALSE(run_until([this] { return !open.empty(); })) << path;
+    EXPECT_NE(caller.receive().find("HTTP/1.1 400"), std::string::npos) << path;
+    while (!open.empty()) {
+      server.respond(open.back(), {200, "{}", {}});
+      open.pop_back();
+    }
+  }
+}
+
+TEST_F(http_server_fixture, a_request_whose_header_is_not_text_is_refused) {
+  raw_http caller(address());
+  caller.send("POST /x HTTP/1.1\r\nHost: h\xff\r\nContent-Length: 2\r\n\r\n{}");
+  EXPECT_FALSE(run_until([this] { return !open.empty(); }));
+  EXPECT_NE(caller.receive().find("HTTP/1.1 400"), std::string::npos);
+}
+
+TEST_F(http_server_fixture, a_path_may_have_any_printable_text) {
+  raw_http caller(address());
+  caller.send(raw_http::post("/x/i-7f3a%20%c3%a9%25", "{}"));
+  EXPECT_TRUE(run_until([this] { return !open.empty(); }));
+}
+
 }  // namespace
 }  // namespace cyclamenwood
