Refused announcements are logged with an escaped, short id

What operators saw: the id of announcement_refused came from the path as it was, up to 32 kB long and with blanks that read like further fields.

Change: it is cut to 64 bytes, and bytes other than printable ASCII are escaped. Line breaks no longer get this far since the HTTP server refuses them.

Evidence: text.log_text_has_one_word_of_bounded_length; the call in the daemon has no test of its own.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -22,6 +22,7 @@
 #include "cyclamenwood/settings_watch.h"
 #include "cyclamenwood/types.h"
 #include "cyclamenwood/util/log.h"
+#include "cyclamenwood/util/text.h"
 
 namespace cyclamenwood {
 
@@ -77,6 +78,7 @@
   static constexpr int STATUS_OK = 200;
   static constexpr int STATUS_BAD_REQUEST = 400;
   static constexpr int STATUS_NOT_FOUND = 404;
+  static constexpr size_t MAX_LOGGED_ID_BYTES = 64;
 
   // The election timeout allows for two lost heartbeats, and for the two syncs
   // of a slow disk that a vote waits for.
@@ -195,7 +197,8 @@
         Adapter::read_announcement(id, request.body);
     if (!ok(announced)) {
       log_line(log_level::warning, "announcement_refused",
-               fmt::format("upstream={} field={} bytes={}", id,
+               fmt::format("upstream={} field={} bytes={}",
+                           escape_for_log(id, MAX_LOGGED_ID_BYTES),
                            failure(announced).detail, request.body.size()));
       answer(request.exchange, STATUS_BAD_REQUEST);
       return;
