--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -255,6 +255,19 @@
   EXPECT_FALSE(announce(first, 5, 1000));
 }
 
+TEST(directory, an_odd_id_that_leaves_changes_nothing) {
+  upstream_directory directory;
+  receive_announcement(directory, announcement(5, 1, wire::UPSTREAM_READY),
+                       1000);
+  for (const std::string& id : {std::string(), std::string("\xff"),
+                                std::string("u1\n"), std::string(50'000, 'x')})
+    EXPECT_FALSE(mark_leaving(directory, id));
+  wire::control_news updates;
+  add_changes(directory, "kranj", 0, updates);
+  ASSERT_EQ(updates.upstreams_size(), 1);
+  EXPECT_EQ(updates.upstreams(0).state(), wire::UPSTREAM_READY);
+}
+
 // An upstream has left. An announcement that it sent before, of which this
 // replica had received neither it nor a later one, arrives after that.
 TEST(directory, an_upstream_that_has_left_stays_so) {
