--- a/cyclamenwood/testing/json_bounds_test.cc
+++ b/cyclamenwood/testing/json_bounds_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
