--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -30,6 +30,12 @@
 // restarted host is reached unless as many hosts before it are down.
 constexpr size_t PEER_FANOUT = 3;
 
+// A process without any event for longer than this was suspended: ticks are
+// more frequent by far.
+constexpr int64_t SUSPENSION_MS = 100;
+// Between two ticks all events that wait are read, in any order.
+constexpr int CATCH_UP_TICKS = 2;
+
 struct host_outbox {
   host_effects effects;
   // Results of own pools, by the name of the pool, with their receivers. They
@@ -162,6 +168,7 @@
   pool& pool = state.pools[pool_name(grant)];
   pool.name = pool_name(grant);
   pool.options.lease_ms = state.settings.run_lease_ms;
+  pool.options.resubmission_ms = state.settings.resubmission_ms;
   pool_output done;
   for (const auto& [id, upstream] : state.upstreams) {
     if (shard_of(id, shards_of(grant)) == grant.shard())
@@ -360,7 +367,8 @@
     if (pool.token == 0 || !meant)
       continue;
     pool_output done;
-    released.set_unstarted(release_runs(pool, release.submission(), now, done));
+    released.set_unstarted(
+        release_runs(pool, release.submission(), release.echo_ms(), now, done));
     released.set_token(pool.token);
     apply_output(state, pool, std::move(done), now, out);
   }
@@ -490,6 +498,21 @@
     state.replicas.try_emplace(seed);
 }
 
+// A caller may have left during a suspension, and may have submitted its job
+// elsewhere, before the end of its connection is read here.
+void detect_suspension(host_entry& state,
+                       const host_event& event,
+                       unix_ms now) {
+  bool suspended =
+      state.last_event_ms != 0 && now - state.last_event_ms > SUSPENSION_MS;
+  state.last_event_ms = now;
+  if (suspended)
+    state.ticks_to_catch_up = CATCH_UP_TICKS;
+  if (std::holds_alternative<host_tick>(event) && state.ticks_to_catch_up > 0)
+    --state.ticks_to_catch_up;
+  state.callers.callers_known = state.ticks_to_catch_up == 0;
+}
+
 }  // namespace
 
 host_entry make_host_entry(const host_settings& settings,
@@ -510,8 +533,9 @@
 
 host_effects reduce(host_entry& state, const host_event& event) {
   host_outbox out;
-  std::visit([&](const auto& kind) { on_event(state, kind, out); }, event);
   unix_ms now = std::visit([](const auto& kind) { return kind.now; }, event);
+  detect_suspension(state, event, now);
+  std::visit([&](const auto& kind) { on_event(state, kind, out); }, event);
   // Messages delivered to this host may lead to further ones.
   do {
     std::vector<wire::envelope> inbox = std::move(out.to_self);
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -144,6 +144,8 @@
   std::string host;
   // The token under which the owner got the tasks.
   uint64_t token = 0;
+  // See run_release.
+  int64_t echo_ms = 0;
   uint32_t resends = 0;
   unix_ms resend_ms = 0;
   unix_ms expires_ms = 0;
@@ -190,6 +192,9 @@
   // Address of this process, as it stands in grants.
   std::string host;
   uint64_t next_submission = 1;
+  // Whether the ends of callers' connections have been seen up to now. If not,
+  // messages contain no echo, so that owners don't take the callers for alive.
+  bool callers_known = true;
   // Set when the process drains: by this time all open jobs are answered. Calls
   // whose job may not end before it are refused.
   unix_ms answer_by_ms = INT64_MAX;
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -20,6 +20,9 @@
 // stop was acknowledged and a later list lacks it, or every lease that was ever
 // requested for its upstream has expired.
 //
+// A run ends before the caller of its job may submit that again elsewhere, even
+// if its owner and its entry host fail (pool_leases.cc).
+//
 // A task that was lost with several upstreams (loss_history.h) is not started
 // again, since it may have crashed them.
 //
@@ -88,6 +91,9 @@
   // The incarnation of the upstream before the present one, if the run may
   // belong to it; otherwise 0.
   uint64_t past_incarnation = 0;
+  // When the entry host that had requested the run was last known to want it,
+  // if it does not any more; otherwise 0.
+  unix_ms orphaned_ms = 0;
 };
 
 // A start order that was not answered.
@@ -172,6 +178,8 @@
   wire::run_request request;
   unix_ms deadline_ms = 0;
   unix_ms objective_ms = 0;
+  // When it was first requested here.
+  unix_ms requested_ms = 0;
   // Upstreams where a previous owner may have started tasks of the job.
   std::vector<std::string> former_upstreams;
   // One of the tasks may have run: its start was ordered, perhaps by a previous
@@ -201,6 +209,9 @@
   // received. Unlike the time of arrival, it does not make a message look
   // recent that waited while this process was suspended.
   unix_ms last_contact_ms = 0;
+  // Some run may not be wanted since then: the peer waits for the confirmation
+  // of a release.
+  unix_ms unconfirmed_release_ms = INT64_MAX;
   uint64_t incarnation = 0;
   // Counts of messages in each direction. The counts of the two sides differ
   // when messages were lost.
@@ -216,6 +227,9 @@
 
 struct pool_options {
   int64_t lease_ms = 1000;
+  // Callers without an answer submit their job again after this time at the
+  // earliest.
+  int64_t resubmission_ms = 1300;
 };
 
 // Recently requested work, exponentially decayed: processor capacity
@@ -307,9 +321,12 @@
                   pool_output& out);
 // Stops the runs of a submission and drops its jobs. Requests of the submission
 // that arrive later are ignored. Returns whether it is certain that no start
-// was ordered for it here; a repeated release gets the same result.
+// was ordered for it here; a repeated release gets the same result. `echo_ms`:
+// the latest time of this process's clock that the entry host had received when
+// it released the submission; 0 if unknown.
 bool release_runs(pool& pool,
                   uint64_t submission,
+                  unix_ms echo_ms,
                   unix_ms now,
                   pool_output& out);
 // Records that the entry host has received a message that this process sent at
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -66,8 +66,9 @@
 // its capacity becomes, so that nothing starts beside it.
 wire::room unknown_need();
 
-// Orders stops of the starts that this incarnation would still carry out.
-void bar_unanswered_starts(leased_upstream& upstream, unix_ms now);
+// Orders stops of the starts that this incarnation would still carry out. Their
+// tasks are not started elsewhere before the stops are acknowledged.
+void bar_unanswered_starts(pool& pool, leased_upstream& upstream, unix_ms now);
 
 // The upstream was restarted under the same id, so that its end numbers and its
 // clock start again. A run may belong to the previous incarnation, which has
@@ -76,7 +77,8 @@
 // which did not receive any stop: the stop is sent to it again. It may have
 // another capacity and other labels than the last one, so that it gets no task
 // before it has announced itself.
-void begin_new_incarnation(leased_upstream& upstream,
+void begin_new_incarnation(pool& pool,
+                           leased_upstream& upstream,
                            uint64_t incarnation,
                            unix_ms now,
                            pool_output& out);
@@ -102,6 +104,29 @@
              run_end how,
              pool_output& out);
 
+// ---- pool_leases.cc ---------------------------------------------------------
+
+// The time beyond which the lease of the upstream must not be extended, because
+// of a run that nobody is known to want until then; INT64_MAX: none.
+unix_ms lease_limit(const pool& pool, const leased_upstream& upstream);
+
+// Whether a run that starts now would end before its job may be submitted
+// again, whatever fails, and would last for long enough otherwise.
+// `contact_ms`: when its entry host was last known to be alive.
+bool may_start_under_lease(const pool& pool,
+                           const leased_upstream& upstream,
+                           unix_ms contact_ms,
+                           unix_ms now);
+
+// Returns the deadline of a lease that begins now, on the upstream's clock; 0
+// if the lease can't be extended.
+int64_t extend_lease(const pool& pool, leased_upstream& upstream, unix_ms now);
+
+// A former owner may have extended the lease until now.
+void assume_longest_lease(const pool& pool,
+                          leased_upstream& upstream,
+                          unix_ms now);
+
 // ---- pool_losses.cc ---------------------------------------------------------
 
 // What the owner knows of the end of an upstream that took a run with it.
@@ -124,6 +149,10 @@
 // Whether the upstream has acknowledged that it stopped the run.
 bool is_stopped(const leased_run& run);
 
+// Whether the run is none of this incarnation's, but only stopped there in case
+// a start order for an earlier one arrives.
+bool is_barred_start(const leased_run& run);
+
 // The evidence for an upstream whose leases have expired.
 loss_evidence evidence_of_silence(const leased_upstream& upstream);
 
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -43,10 +43,18 @@
 // Runs that a previous owner started may not have been listed yet. A resumed
 // job therefore waits until all known upstreams have been listed, including
 // those that its entry host named, or until all leases that the previous owner
-// requested must have expired.
+// requested must have expired. That one may not know that it was replaced. It
+// extends leases for the job's tasks as long as their entry host exchanges
+// hellos with it, which may be longer than this process is the owner, but ends
+// before the first request arrives here.
 bool must_wait_for_lists(const pool& pool, const pool_job& job, unix_ms now) {
-  if (!job.request.resumed() ||
-      now > pool.owned_since_ms + pool.options.lease_ms + ADOPTION_WINDOW_MS)
+  unix_ms former_runs_since_ms =
+      job.former_upstreams.empty()
+          ? pool.owned_since_ms
+          : std::max(pool.owned_since_ms, job.requested_ms);
+  bool former_runs_are_over =
+      now > former_runs_since_ms + pool.options.lease_ms + ADOPTION_WINDOW_MS;
+  if (!job.request.resumed() || former_runs_are_over)
     return false;
   bool unlisted =
       std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
@@ -127,7 +135,7 @@
 }  // namespace
 
 bool may_take_work(const leased_upstream& upstream, unix_ms now) {
-  return upstream.listed && upstream.reachable &&
+  return upstream.listed && upstream.reachable && upstream.clock_offset_ms &&
          upstream.info.state() == wire::UPSTREAM_READY &&
          now >= upstream.backoff_until_ms && !upstream.isolated &&
          !(upstream.on_probation && !upstream.runs.empty());
@@ -157,8 +165,10 @@
                                  unix_ms now) {
   const wire::run_request& request = job.request;
   auto peer = pool.peers.find(job.from);
-  uint64_t known_version =
-      peer == pool.peers.end() ? 0 : peer->second.known_upstreams_version;
+  if (peer == pool.peers.end())
+    return nullptr;
+  const auto& [last_contact_ms, known_version] = std::pair(
+      peer->second.last_contact_ms, peer->second.known_upstreams_version);
   leased_upstream* best = nullptr;
   preference best_preference;
   for (auto& [id, upstream] : pool.upstreams) {
@@ -169,7 +179,8 @@
         !has_label(upstream.info, request.label()))
       continue;
     resource_amount free = free_resources(upstream);
-    if (!fits(request.need(), free) || upstream.runs.contains(name))
+    if (!fits(request.need(), free) || upstream.runs.contains(name) ||
+        !may_start_under_lease(pool, upstream, last_contact_ms, now))
       continue;
     preference offered{task.failed_on.contains(id),
                        !has_label(upstream.info, request.rack()),
--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -254,6 +254,21 @@
   }
 }
 
+void log_found_run(const pool& pool,
+                   const leased_upstream& upstream,
+                   const listed_run& listed,
+                   pool_output& out) {
+  auto placed = pool.placed.find(listed.task);
+  out.events.push_back(
+      {"run_found",
+       fmt::format("task={} attempt={} upstream={} incarnation={} percent={} "
+                   "pool={} token={} first_list={} also_on={}",
+                   listed.task, listed.attempt, upstream.info.id(),
+                   upstream.info.incarnation(), listed.percent, pool.name,
+                   pool.token, !upstream.listed,
+                   placed == pool.placed.end() ? "none" : placed->second)});
+}
+
 void process_listed_run(pool& pool,
                         leased_upstream& upstream,
                         const listed_run& listed,
@@ -269,9 +284,12 @@
       run.absence_valid_from_ms = now;
       run.started_ms = now;
     }
+    if (is_barred_start(run))
+      run.discovered_ms = now;
     check_progress(pool, upstream, listed, now, out);
     return;
   }
+  log_found_run(pool, upstream, listed, out);
   bool runs_elsewhere = pool.placed.contains(listed.task);
   leased_run& found = upstream.runs[listed.task];
   found.attempt = listed.attempt;
@@ -343,7 +361,7 @@
                                       upstream.runs.size())});
   bool restarted = reply.incarnation > upstream.info.incarnation();
   if (restarted) {
-    begin_new_incarnation(upstream, reply.incarnation, now, out);
+    begin_new_incarnation(pool, upstream, reply.incarnation, now, out);
     read_clock(upstream, reply.clock_ms, now);
   }
   for (const listed_end& end : reply.ended)
@@ -351,9 +369,10 @@
   for (const listed_run& run : reply.running)
     process_listed_run(pool, upstream, run, now, out);
   end_absent_runs(pool, upstream, reply, sent_ms, now, out);
-  bar_unanswered_starts(upstream, now);
+  bar_unanswered_starts(pool, upstream, now);
   pool.placement_due = pool.placement_due || !upstream.listed || !was_reachable;
-  upstream.listed = true;
+  if (!std::exchange(upstream.listed, true))
+    assume_longest_lease(pool, upstream, now);
   // A new incarnation is listed again at once, so that runs that ended with the
   // previous one are known to be absent.
   send_renewal(pool, upstream, restarted ? 0 : RENEWAL_WAIT_MS, now, out);
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -17,25 +17,15 @@
 
 // A reply within the zone takes a few ms; the rest allows for a busy process.
 constexpr int64_t ORDER_TIMEOUT_MS = 150;
-// An upstream's clock may be 2% slow; the margin covers the error in reading
-// it.
-constexpr double SLOWEST_CLOCK = 0.98;
-constexpr int64_t LEASE_MARGIN_MS = 30;
+// The adoption window beside a run that was requested. The lease can't be
+// extended for that one until the others are requested or stopped.
+constexpr int64_t SHARED_ADOPTION_WINDOW_MS = 100;
+// The wait of renewals that can't extend the lease for long, because of a run
+// that nobody is known to want; that may change soon.
+constexpr int64_t LIMITED_RENEWAL_WAIT_MS = 50;
 // The part of an order number that counts the orders under one token.
 constexpr int ORDER_BITS = 32;
 
-int64_t lease_deadline(const pool& pool,
-                       leased_upstream& upstream,
-                       unix_ms now) {
-  if (!upstream.clock_offset_ms)
-    return 0;
-  auto longest = static_cast<int64_t>(
-      static_cast<double>(pool.options.lease_ms) / SLOWEST_CLOCK);
-  upstream.leases_expire_ms =
-      std::max(upstream.leases_expire_ms, now + longest + LEASE_MARGIN_MS);
-  return now + *upstream.clock_offset_ms + pool.options.lease_ms;
-}
-
 run_order make_order(pool& pool,
                      order_kind kind,
                      const leased_upstream& upstream,
@@ -67,11 +57,16 @@
     stop_run(pool, upstream, name, now, out);
     return;
   }
+  int64_t lease_deadline_ms = extend_lease(pool, upstream, now);
+  if (lease_deadline_ms == 0) {
+    stop_run(pool, upstream, name, now, out);
+    return;
+  }
   run_order order = make_order(pool, order_kind::start, upstream, now);
   order.task = name;
   order.attempt = run.attempt;
   order.spec = job->request.spec();
-  order.lease_deadline_ms = lease_deadline(pool, upstream, now);
+  order.lease_deadline_ms = lease_deadline_ms;
   run.resend_ms = INT64_MAX;
   issue(pool, std::move(order), out);
 }
@@ -106,25 +101,46 @@
 
 // ---- Time -------------------------------------------------------------------
 
+void log_unclaimed(const leased_upstream& upstream,
+                   const std::string& name,
+                   const leased_run& run,
+                   unix_ms now,
+                   pool_output& out) {
+  out.events.push_back(
+      {"run_unclaimed",
+       fmt::format("task={} attempt={} upstream={} found_ms={}", name,
+                   run.attempt, upstream.info.id(), now - run.discovered_ms)});
+}
+
+bool has_requested_run(const leased_upstream& upstream) {
+  return std::any_of(
+      upstream.runs.begin(), upstream.runs.end(),
+      [](const auto& item) { return item.second.submission != 0; });
+}
+
 void tick_runs(pool& pool,
                leased_upstream& upstream,
                unix_ms now,
                pool_output& out) {
   std::vector<std::string> due;
+  int64_t window_ms = has_requested_run(upstream) ? SHARED_ADOPTION_WINDOW_MS
+                                                  : ADOPTION_WINDOW_MS;
   for (const auto& [name, run] : upstream.runs) {
     bool unclaimed = run.submission == 0 && run.state == run_state::running &&
-                     now >= run.discovered_ms + ADOPTION_WINDOW_MS;
+                     now >= run.discovered_ms + window_ms;
     if (unclaimed || now >= run.resend_ms)
       due.push_back(name);
   }
   for (const std::string& name : due) {
     leased_run& run = upstream.runs[name];
-    if (run.state == run_state::starting)
+    if (run.state == run_state::starting) {
       send_start(pool, upstream, name, run, now, out);
-    else if (run.state == run_state::stopping)
+    } else if (run.state == run_state::stopping) {
       send_stop(pool, upstream, name, run, now, out);
-    else
+    } else {
+      log_unclaimed(upstream, name, run, now, out);
       stop_run(pool, upstream, name, now, out);
+    }
   }
 }
 
@@ -138,9 +154,12 @@
   run_order order = make_order(pool, order_kind::renewal, upstream, now);
   order.last_end_number = upstream.last_end_number;
   if (upstream.reachable && upstream.listed) {
-    order.lease_deadline_ms = lease_deadline(pool, upstream, now);
-    order.wait_ms = wait_ms;
-    order.reply_deadline_ms += wait_ms;
+    order.lease_deadline_ms = extend_lease(pool, upstream, now);
+    bool limited =
+        lease_limit(pool, upstream) < now + pool.options.lease_ms / 2;
+    order.wait_ms =
+        limited ? std::min(wait_ms, LIMITED_RENEWAL_WAIT_MS) : wait_ms;
+    order.reply_deadline_ms += order.wait_ms;
   }
   upstream.renewal_order = order.id;
   upstream.renewal_sent_ms = now;
@@ -155,7 +174,7 @@
   return need;
 }
 
-void bar_unanswered_starts(leased_upstream& upstream, unix_ms now) {
+void bar_unanswered_starts(pool& pool, leased_upstream& upstream, unix_ms now) {
   for (const auto& [name, start] : upstream.unanswered_starts) {
     if (start.barred_in == upstream.info.incarnation())
       continue;
@@ -168,10 +187,12 @@
     reserve_resources(upstream, run.need);
     run.state = run_state::stopping;
     run.resend_ms = now;
+    pool.placed.try_emplace(name, upstream.info.id());
   }
 }
 
-void begin_new_incarnation(leased_upstream& upstream,
+void begin_new_incarnation(pool& pool,
+                           leased_upstream& upstream,
                            uint64_t incarnation,
                            unix_ms now,
                            pool_output& out) {
@@ -196,7 +217,7 @@
     run.absence_valid_from_ms = INT64_MAX;
     run.resend_ms = now;
   }
-  bar_unanswered_starts(upstream, now);
+  bar_unanswered_starts(pool, upstream, now);
 }
 
 void end_run(pool& pool,
@@ -207,6 +228,11 @@
   auto found = upstream.runs.find(name);
   leased_run run = std::move(found->second);
   upstream.runs.erase(found);
+  if (run.orphaned_ms != 0)
+    out.events.push_back(
+        {"orphan_ended",
+         fmt::format("task={} attempt={} upstream={} how={}", name, run.attempt,
+                     upstream.info.id(), to_string(how))});
   release_resources(upstream, run.need);
   upstream.isolated = upstream.isolated && !upstream.runs.empty();
   // A second run of the task may have been found on another upstream.
@@ -263,7 +289,7 @@
   bool is_leaving = !restarted && known.info.state() == wire::UPSTREAM_LEAVING;
   pool.placement_due = true;
   if (restarted)
-    begin_new_incarnation(known, announced.incarnation(), now, out);
+    begin_new_incarnation(pool, known, announced.incarnation(), now, out);
   else if (!added)
     log_capacity_change(known, announced, out);
   known.info = announced;
--- a/cyclamenwood/testing/http_server_test.cc
+++ b/cyclamenwood/testing/http_server_test.cc
@@ -29,8 +29,11 @@
             http_settings(),
             [this](const http_request& request) {
               open.push_back(request.exchange);
+              ++handled;
             },
-            [](uint64_t /*exchange*/) {}) {}
+            [](uint64_t /*exchange*/) {}) {
+    server.capture_headers({"Host"});
+  }
 
   void SetUp() override { ASSERT_TRUE(ok(server.listen(ANY_PORT))); }
 
@@ -56,6 +59,7 @@
 
   event_loop loop;
   std::vector<uint64_t> open;
+  int handled = 0;
   http_server server;
 };
 
@@ -70,6 +74,16 @@
   }
 }
 
+TEST_F(http_server_fixture, a_request_whose_caller_has_left_is_not_handled) {
+  {
+    raw_http caller(address());
+    caller.send(raw_http::post("/x", "{}"));
+  }
+  raw_http next(address());
+  ASSERT_TRUE(exchange(next));
+  EXPECT_EQ(handled, 1);
+}
+
 // Guards against two processes listening on the same address without an error,
 // each of them receiving a part of the connections.
 TEST_F(http_server_fixture, an_address_in_use_is_refused) {
@@ -93,5 +107,34 @@
   EXPECT_TRUE(run_until([this] { return server.open_exchanges() == 1; }));
 }
 
+// Guards against messages that no receiver accepts and log lines that a caller
+// writes: both take text from the path and the Host header.
+TEST_F(http_server_fixture, a_request_whose_path_is_not_text_is_refused) {
+  for (const char* path : {"/x/%ff", "/x/%c3", "/x/%ed%a0%80", "/x/a%0ab",
+                           "/x/%0d%0aX:%20y", "/x/%1b[2J", "/x/%c2%9b"}) {
+    raw_http caller(address());
+    caller.send(raw_http::post(path, "{}"));
+    EXPECT_FALSE(run_until([this] { return !open.empty(); })) << path;
+    EXPECT_NE(caller.receive().find("HTTP/1.1 400"), std::string::npos) << path;
+    while (!open.empty()) {
+      server.respond(open.back(), {200, "{}", {}});
+      open.pop_back();
+    }
+  }
+}
+
+TEST_F(http_server_fixture, a_request_whose_header_is_not_text_is_refused) {
+  raw_http caller(address());
+  caller.send("POST /x HTTP/1.1\r\nHost: h\xff\r\nContent-Length: 2\r\n\r\n{}");
+  EXPECT_FALSE(run_until([this] { return !open.empty(); }));
+  EXPECT_NE(caller.receive().find("HTTP/1.1 400"), std::string::npos);
+}
+
+TEST_F(http_server_fixture, a_path_may_have_any_printable_text) {
+  raw_http caller(address());
+  caller.send(raw_http::post("/x/i-7f3a%20%c3%a9%25", "{}"));
+  EXPECT_TRUE(run_until([this] { return !open.empty(); }));
+}
+
 }  // namespace
 }  // namespace cyclamenwood
--- a/cyclamenwood/testing/pool_fixture.h
+++ b/cyclamenwood/testing/pool_fixture.h
@@ -68,6 +68,7 @@
     wire::pool_hello hello;
     hello.set_requests(state.peers[from].requests_received);
     hello.set_have_upstreams(state.upstreams_version);
+    hello.set_unconfirmed_echo_ms(unconfirmed_echo_ms);
     answer_hello(state, from, hello, now);
   }
 
@@ -108,7 +109,8 @@
     fake_upstream* upstream = find(order.upstream);
     upstream->advance(now);
     bool silent = unreachable.contains(order.upstream) ||
-                  (order.kind == order_kind::start && drop_starts > 0);
+                  (order.kind == order_kind::start && drop_starts > 0) ||
+                  (order.kind == order_kind::stop && drop_stops);
     if (silent) {
       if (now < order.reply_deadline_ms) {
         waiting.push_back({sent, order});
@@ -150,6 +152,8 @@
   std::vector<std::pair<std::string, wire::run_result>> reported;
   std::set<std::string> unreachable;
   int drop_starts = 0;
+  bool drop_stops = false;
+  int64_t unconfirmed_echo_ms = 0;
   bool keep_peers = true;
 };
 
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -1,6 +1,7 @@
 // Tests of the pool with in-process upstreams: runs, leases, changes of owner.
 #include <gtest/gtest.h>
 
+#include "cyclamenwood/intake.h"
 #include "cyclamenwood/testing/pool_fixture.h"
 
 namespace cyclamenwood {
@@ -118,13 +119,13 @@
   run_until(now + 20);
   ask(request(1, "j1", 1));
   ask(request(2, "j2", 1));
-  EXPECT_FALSE(release_runs(state, 1, now, out));
-  EXPECT_TRUE(release_runs(state, 2, now, out));
+  EXPECT_FALSE(release_runs(state, 1, now, now, out));
+  EXPECT_TRUE(release_runs(state, 2, now, now, out));
   // The first confirmation was lost.
-  EXPECT_FALSE(release_runs(state, 1, now, out));
-  EXPECT_TRUE(release_runs(state, 2, now, out));
+  EXPECT_FALSE(release_runs(state, 1, now, now, out));
+  EXPECT_TRUE(release_runs(state, 2, now, now, out));
   // Its request was lost or is on its way.
-  EXPECT_FALSE(release_runs(state, 3, now, out));
+  EXPECT_FALSE(release_runs(state, 3, now, now, out));
   flush();
 }
 
@@ -199,6 +200,205 @@
   EXPECT_TRUE(upstream.runs().empty());
 }
 
+TEST_F(pool_fixture, changes_of_owner_do_not_keep_a_run_that_nobody_wants) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 1U);
+  unix_ms sent_again_ms = now + state.options.resubmission_ms;
+  for (uint64_t token = 2; now < sent_again_ms; ++token) {
+    own(token);
+    run_until(std::min(now + 300, sent_again_ms));
+  }
+  EXPECT_TRUE(upstream.runs().empty());
+}
+
+TEST_F(pool_fixture, an_unanswered_stop_does_not_keep_a_run) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 1U);
+  keep_peers = false;
+  drop_stops = true;
+  run_until(now + state.options.resubmission_ms);
+  EXPECT_TRUE(upstream.runs().empty());
+}
+
+TEST_F(pool_fixture, a_lease_of_other_runs_does_not_keep_a_run_of_a_lost_host) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1), "e1");
+  say_hello("e2", 1);
+  keep_peers = false;
+  unix_ms lost_ms = now;
+  const leased_upstream& known = state.upstreams.at("u1");
+  while (now < lost_ms + 400 || known.renewal_sent_ms != now) {
+    run_until(now + STEP_MS);
+    say_hello("e1", 1);
+  }
+  request_runs(state, "e2", request(2, "j2", 1), now, out);
+  flush();
+  drop_stops = true;
+  while (now < lost_ms + state.options.resubmission_ms) {
+    run_until(now + STEP_MS);
+    say_hello("e1", 1);
+  }
+  EXPECT_FALSE(upstream.runs().contains("j2.0.0.0"));
+}
+
+TEST_F(pool_fixture, a_task_of_a_live_host_starts_beside_other_runs_at_once) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1), "e1");
+  run_until(now + 1'000);
+  keep_peers = false;
+  say_hello("e2", 1);
+  run_until(now + 100);
+  say_hello("e1", 1);
+  request_runs(state, "e2", request(2, "j2", 1), now, out);
+  flush();
+  run_until(now + 10);
+  EXPECT_TRUE(upstream.runs().contains("j2.0.0.0"));
+}
+
+TEST_F(pool_fixture, a_repeated_request_does_not_keep_a_run_that_is_stopped) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  ask(request(1, "j1", 1));
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 1U);
+  unix_ms lost_ms = now;
+  keep_peers = false;
+  drop_stops = true;
+  run_until(lost_ms + PEER_TIMEOUT_MS + 100);
+  ask(request(1, "j1", 1));
+  release_runs(state, 1, now, now, out);
+  flush();
+  run_until(lost_ms + state.options.resubmission_ms);
+  EXPECT_TRUE(upstream.runs().empty());
+}
+
+TEST_F(pool_fixture, a_release_that_arrives_late_does_not_keep_a_run) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(10'000);
+  own(1);
+  run_until(now + 20);
+  for (int64_t delay_ms = 0; delay_ms <= 700; delay_ms += STEP_MS) {
+    SCOPED_TRACE(delay_ms);
+    auto submission = static_cast<uint64_t>(now);
+    ask(request(submission, "j" + std::to_string(submission), 1));
+    run_until(now + 50);
+    ASSERT_EQ(upstream.runs().size(), 1U);
+    unix_ms released_ms = now;
+    unconfirmed_echo_ms = released_ms;
+    run_until(now + delay_ms);
+    drop_stops = true;
+    release_runs(state, submission, released_ms, now, out);
+    flush();
+    unconfirmed_echo_ms = 0;
+    run_until(released_ms + state.options.resubmission_ms);
+    EXPECT_TRUE(upstream.runs().empty());
+    drop_stops = false;
+    run_until(now + 2'000);
+  }
+}
+
+TEST(intake, a_hello_names_the_earliest_unconfirmed_release) {
+  intake sender;
+  wire::owner_grant& grant = sender.grants["kranj"];
+  grant.set_token(7);
+  sender.pools["kranj"].token = 7;
+  EXPECT_EQ(make_pool_hello(sender, "kranj").unconfirmed_echo_ms(), 0);
+  sender.releases[{1, "kranj"}].echo_ms = 500;
+  sender.releases[{2, "kranj"}].echo_ms = 400;
+  sender.releases[{3, "vic"}].echo_ms = 300;
+  EXPECT_EQ(make_pool_hello(sender, "kranj").unconfirmed_echo_ms(), 400);
+}
+
+TEST_F(pool_fixture, a_run_does_not_inherit_a_lease_beyond_its_limit) {
+  for (int64_t silent_ms = 0; silent_ms < PEER_TIMEOUT_MS; silent_ms += 50) {
+    SCOPED_TRACE(silent_ms);
+    std::string id = "u" + std::to_string(silent_ms);
+    fake_upstream& upstream = add_upstream(id, 2000);
+    upstream.set_run_ms(10'000);
+    own(state.highest_token + 1);
+    run_until(now + 20);
+    ask(request(now, "keeps_the_lease", 1), "e2");
+    ask(request(now + 1, "j1", 1), "e1");
+    unix_ms contact_ms = now;
+    release_runs(state, now + 1, now, now, out);
+    run_until(now + 100);
+    state.peers["e1"].last_contact_ms = now - silent_ms;
+    contact_ms = now - silent_ms;
+    request_runs(state, "e1", request(now + 2, "j2", 1), now, out);
+    flush();
+    drop_stops = true;
+    keep_peers = false;
+    while (now < contact_ms + state.options.resubmission_ms) {
+      run_until(now + STEP_MS);
+      say_hello("e2", 1);
+    }
+    upstream.advance(now);
+    EXPECT_FALSE(upstream.runs().contains("j2.0.0.0"));
+    drop_stops = false;
+    keep_peers = true;
+    unreachable.insert(id);
+  }
+}
+
+TEST_F(pool_fixture, an_unclaimed_run_does_not_end_its_neighbours) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(2'500);
+  own(1);
+  run_until(now + 20);
+  wire::run_request wanted = request(1, "j1", 1);
+  wanted.set_estimate_ms(2'500);
+  ask(wanted, "e1");
+  ask(request(2, "j2", 1), "e2");
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 2U);
+  now += 700;
+  own(2);
+  run_until(now + 20);
+  wanted.set_resumed(true);
+  ask(wanted, "e1");
+  run_until(now + 2'600);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+  EXPECT_EQ(upstream.starts(), 2U);
+}
+
+TEST_F(pool_fixture, a_stopped_run_does_not_shorten_the_lease_of_others) {
+  fake_upstream& upstream = add_upstream("u1");
+  upstream.set_run_ms(2'500);
+  own(1);
+  run_until(now + 20);
+  wire::run_request wanted = request(1, "j1", 1);
+  wanted.set_estimate_ms(2'500);
+  ask(wanted, "e1");
+  wire::run_request dropped = request(2, "j2", 1);
+  dropped.set_estimate_ms(2'500);
+  ask(dropped, "e2");
+  run_until(now + 50);
+  ASSERT_EQ(upstream.runs().size(), 2U);
+  release_runs(state, 2, 0, now, out);
+  flush();
+  run_until(now + 2'600);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+  EXPECT_EQ(upstream.starts(), 2U);
+}
+
 // Regression (random run 2710): a request was delayed while the owner was
 // suspended. By then its sender had failed and the job was in progress
 // elsewhere.
@@ -229,6 +429,53 @@
 
 // Regression (score 85378f11): a job was reported as not started though a start
 // had been ordered for one of its tasks.
+TEST_F(pool_fixture, after_a_suspension_no_unanswered_start_is_repeated) {
+  add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  drop_starts = 1;
+  ask(request(1, "j1", 1));
+  for (const auto& [id, order] : std::map(state.orders)) {
+    if (order.kind == order_kind::start)
+      order_replied(state, id, {}, now, out);
+  }
+  waiting.clear();
+  out.orders.clear();
+  now += 2000;
+  tick_pool(state, now, out);
+  for (const run_order& order : out.orders)
+    EXPECT_NE(order.kind, order_kind::start);
+}
+
+// Its sender learned of the change of owner 2 s after this owner did.
+TEST_F(pool_fixture, a_late_resumed_request_waits_for_unknown_upstreams) {
+  fake_upstream& upstream = add_upstream("u1");
+  own(1);
+  run_until(now + 2000);
+  wire::run_request again = request(1, "j1", 1);
+  again.set_resumed(true);
+  again.add_former_upstreams("u9");
+  ask(again);
+  run_until(now + state.options.lease_ms);
+  EXPECT_EQ(upstream.starts(), 0U);
+  run_until(now + 1000);
+  EXPECT_EQ(upstream.starts(), 1U);
+}
+
+TEST_F(pool_fixture, nothing_is_started_before_the_upstreams_clock_is_known) {
+  fake_upstream& upstream = add_upstream("u1");
+  own(1);
+  run_until(now + 20);
+  upstream.restart(now);
+  update_upstream(state, upstream.info(), now, out);
+  ask(request(1, "j1", 1));
+  for (const sent_order& sent : waiting)
+    EXPECT_EQ(sent.order.kind, order_kind::renewal);
+  run_until(now + 500);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+  EXPECT_EQ(count(wire::RUN_FAILED), 0U);
+}
+
 TEST_F(pool_fixture, an_expired_job_with_an_ordered_task_counts_as_started) {
   add_upstream("u1", 1000).set_run_ms(5000);
   own(1);
@@ -420,6 +667,29 @@
   EXPECT_EQ(first.carry_out(late, now).outcome, order_outcome::stale_attempt);
 }
 
+// Random run 369 with a third of the orders late.
+TEST_F(pool_fixture, a_task_waits_until_its_late_start_is_barred_again) {
+  fake_upstream& first = add_upstream("u1", 1000);
+  own(1);
+  run_until(now + 20);
+  drop_starts = 3;
+  ask(request(1, "j1", 1));
+  while (!state.upstreams["u1"].runs.empty() && now < 1'002'000)
+    run_until(now + STEP_MS);
+  ASSERT_TRUE(state.upstreams["u1"].runs.empty());
+  drop_stops = true;
+  first.restart(now);
+  run_until(now + 20);
+  update_upstream(state, first.info(), now, out);
+  run_until(now + 20);
+  fake_upstream& second = add_upstream("u2", 1000);
+  run_until(now + 300);
+  EXPECT_EQ(second.starts(), 0U);
+  drop_stops = false;
+  run_until(now + 800);
+  EXPECT_EQ(count(wire::RUN_DONE), 1U);
+}
+
 TEST_F(pool_fixture, a_rejected_task_is_not_started_by_its_unanswered_order) {
   fake_upstream& first = add_upstream("u1", 1000);
   own(1);
@@ -477,7 +747,7 @@
   run_until(now + 600);
   ASSERT_TRUE(second.runs().empty());
   ASSERT_EQ(first.runs().size(), 1U);
-  release_runs(state, 1, now, out);
+  release_runs(state, 1, now, now, out);
   flush();
   run_until(now + 100);
   EXPECT_TRUE(first.runs().empty());
@@ -515,7 +785,7 @@
   ask(request(1, "j1", 1));
   run_until(now + 50);
   ASSERT_EQ(first.runs().size(), 1U);
-  release_runs(state, 1, now, out);
+  release_runs(state, 1, now, now, out);
   flush();
   ask(request(2, "j2", 1));
   for (const sent_order& sent : waiting)
