--- a/cyclamenwood/intake_end.cc
+++ b/cyclamenwood/intake_end.cc
@@ -137,13 +137,12 @@
     const std::string& host = grant->second.host();
     int64_t echo_ms = make_pool_hello(intake, name).echo_ms();
     send_release(host, submission, name, echo_ms, unfinished, out);
-    if (unfinished)
-      intake.releases[{submission, name}] = {host,
-                                             token,
-                                             echo_ms,
-                                             0,
-                                             now + RELEASE_RESEND_MS,
-                                             now + RELEASE_EXPIRY_MS};
+    if (!unfinished)
+      continue;
+    pending_release& release = intake.releases[{submission, name}];
+    release = {host, token, echo_ms};
+    release.resend_ms = now + RELEASE_RESEND_MS;
+    release.expires_ms = now + RELEASE_EXPIRY_MS;
   }
   intake.by_id.erase(job.id);
   intake.jobs.erase(found);
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -99,6 +99,17 @@
                    known.used.cpu_milli, known.runs.size())});
 }
 
+void log_orphan_end(const leased_upstream& upstream,
+                    const std::string& name,
+                    const leased_run& run,
+                    run_end how,
+                    pool_output& out) {
+  out.events.push_back(
+      {"orphan_ended",
+       fmt::format("task={} attempt={} upstream={} how={}", name, run.attempt,
+                   upstream.info.id(), to_string(how))});
+}
+
 // ---- Time -------------------------------------------------------------------
 
 void log_unclaimed(const leased_upstream& upstream,
@@ -229,10 +240,7 @@
   leased_run run = std::move(found->second);
   upstream.runs.erase(found);
   if (run.orphaned_ms != 0)
-    out.events.push_back(
-        {"orphan_ended",
-         fmt::format("task={} attempt={} upstream={} how={}", name, run.attempt,
-                     upstream.info.id(), to_string(how))});
+    log_orphan_end(upstream, name, run, how, out);
   release_resources(upstream, run.need);
   upstream.isolated = upstream.isolated && !upstream.runs.empty();
   // A second run of the task may have been found on another upstream.
