Tasks of entry hosts that are slow are not kept from starting

Suspected cause, not proved: a start needs a contact with its entry host that is at most 250 ms old, and echoes are older when both hosts are short of processor time.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -510,7 +510,8 @@
     state.ticks_to_catch_up = CATCH_UP_TICKS;
   if (std::holds_alternative<host_tick>(event) && state.ticks_to_catch_up > 0)
     --state.ticks_to_catch_up;
-  state.callers.callers_known = state.ticks_to_catch_up == 0;
+  bool answers_callers = now < state.callers.answer_by_ms;
+  state.callers.callers_known = state.ticks_to_catch_up == 0 && answers_callers;
 }
 
 }  // namespace
--- a/cyclamenwood/pool_leases.cc
+++ b/cyclamenwood/pool_leases.cc
@@ -35,14 +35,14 @@
 // it.
 constexpr double SLOWEST_CLOCK = 0.98;
 constexpr int64_t LEASE_MARGIN_MS = 30;
-// The time by which runs end before their job may be submitted again. An entry
-// host that exits may exchange hellos for 100 ms after its last answers.
-constexpr int64_t RESUBMISSION_MARGIN_MS = 200;
+// The time by which runs end before their job may be submitted again.
+constexpr int64_t RESUBMISSION_MARGIN_MS = 100;
 // The part of that margin that a new run needs.
-constexpr int64_t START_MARGIN_MS = RESUBMISSION_MARGIN_MS / 2;
+constexpr int64_t START_MARGIN_MS = 30;
 // The longest lease is shorter than the time until resubmission by this much,
-// so that it keeps away no task of an entry host that exchanges hellos.
-constexpr int64_t LEASE_RESERVE_MS = 2 * RESUBMISSION_MARGIN_MS;
+// so that it keeps away no task of an entry host that exchanges hellos, even if
+// both hosts are slow.
+constexpr int64_t LEASE_RESERVE_MS = 400;
 // A task whose lease may be no longer than this would hardly outlive the next
 // two renewals.
 constexpr int64_t MIN_START_LEASE_MS = 2 * RENEWAL_WAIT_MS;
