--- a/cyclamenwood/testing/fake_upstream.cc
+++ b/cyclamenwood/testing/fake_upstream.cc
@@ -59,7 +59,7 @@
 
 void fake_upstream::restart(unix_ms now) {
   if (restarts_clock)
-    clock_offset_ms_ = -now;
+    clock_offset_ms_ -= clock(now);
   info_.set_incarnation(info_.incarnation() + 1);
   info_.set_sequence(1);
   highest_token_ = 0;
--- a/cyclamenwood/testing/fake_upstream.h
+++ b/cyclamenwood/testing/fake_upstream.h
@@ -50,6 +50,9 @@
   // Whether its clock starts again at zero when it restarts.
   bool restarts_clock = false;
 
+  // The speed of its clock; 0.98: 2% slow.
+  double clock_rate = 1;
+
   order_reply carry_out(const run_order& order, unix_ms now);
 
   // Ends the runs that are complete at this time, or whose lease has expired,
@@ -76,7 +79,10 @@
  private:
   order_outcome start(const run_order& order, unix_ms now);
   void end(const std::string& task, run_end how);
-  int64_t clock(unix_ms now) const { return now + clock_offset_ms_; }
+  int64_t clock(unix_ms now) const {
+    return static_cast<int64_t>(static_cast<double>(now) * clock_rate) +
+           clock_offset_ms_;
+  }
 
   wire::upstream info_;
   int64_t clock_offset_ms_;
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "cyclamenwood/pool_internal.h"
 
@@ -27,6 +28,8 @@
 // which the first is late, and the news of the replica.
 constexpr int64_t CAPACITY_KNOWN_MS = 1'500;
 constexpr uint64_t INCARNATION_STEP = 1'000'000;
+// The sender of the news of the control log.
+constexpr const char* CONTROL = "control";
 
 result<route_table> read_one_route(std::string_view /*content*/) {
   route_table table;
@@ -64,8 +67,12 @@
   }
   if (options_.changing_capacity)
     replicas_ = {{"replica-1", {}, {}}, {"replica-2", {}, {}}};
-  for (fake_upstream& upstream : upstreams_)
+  for (fake_upstream& upstream : upstreams_) {
     upstream.restarts_clock = options_.restarting_clocks;
+    if (options_.slow_clocks > 0)
+      upstream.clock_rate = 1 - std::uniform_real_distribution<>(
+                                    0, options_.slow_clocks)(random_);
+  }
   if (options_.crashing_jobs <= 0)
     return;
   for (fake_upstream& upstream : upstreams_) {
@@ -107,25 +114,42 @@
   settings.name = host.name;
   settings.rpc = host.name;
   settings.zone = host.zone;
-  settings.seeds = {"control"};
+  settings.seeds = {CONTROL};
   next_incarnation_ += INCARNATION_STEP;
   host.state = make_host_entry(settings, next_incarnation_, &read_one_route);
   host.inbox.clear();
+  host.closed.clear();
 }
 
 void host_model::crash(host& host) {
+  trace(fmt::format("{} ends", host.name));
   ++counts_.crashes;
   host.state.reset();
   host.restart_at_ms = now_ + between(50, 2500);
+  host.exit_by_ms = INT64_MAX;
   for (caller_job& job : jobs_) {
-    if (job.at != host.name || job.finished)
-      continue;
-    job.at.clear();
-    job.only_refused = false;
-    job.resend_ms = now_ + RESEND_MS;
+    if (job.at == host.name && !job.finished)
+      stop_waiting(job);
   }
 }
 
+// The caller has no result, and submits the job again after a while.
+void host_model::stop_waiting(caller_job& job) {
+  job.at.clear();
+  job.only_refused = false;
+  job.resend_ms = now_ + RESEND_MS;
+  job.runs_until_ms = now_ + RESEND_MS;
+  job.leaves_ms = INT64_MAX;
+}
+
+bool host_model::has_runs(const caller_job& job) {
+  return std::any_of(upstreams_.begin(), upstreams_.end(), [&](auto& upstream) {
+    upstream.advance(now_);
+    auto first = upstream.runs().lower_bound(job.id);
+    return first != upstream.runs().end() && first->first.starts_with(job.id);
+  });
+}
+
 void host_model::inject_faults() {
   for (auto& [name, host] : hosts_) {
     if (host.state && chance(0.0008))
@@ -133,6 +157,8 @@
     if (host.state && host.suspended_until_ms < now_ && chance(0.0008)) {
       ++counts_.suspensions;
       host.suspended_until_ms = now_ + between(50, 3000);
+      trace(fmt::format("{} is suspended for {} ms", name,
+                        host.suspended_until_ms - now_));
     }
   }
   for (fake_upstream& upstream : upstreams_) {
@@ -166,7 +192,7 @@
 void host_model::announce_upstreams() {
   for (fake_upstream& upstream : upstreams_) {
     const std::string& id = upstream.info().id();
-    if (now_ % ANNOUNCEMENT_INTERVAL_MS != 0)
+    if (now_ % ANNOUNCEMENT_INTERVAL_MS != 0 || now_ < hidden_until_[id])
       continue;
     if (chance(0.3))
       announces_to_[id] = between(0, 1);
@@ -187,7 +213,7 @@
 void host_model::submit(caller_job& job) {
   std::vector<std::string> up;
   for (const auto& [name, host] : hosts_) {
-    if (host.state && host.zone == job.zone)
+    if (host.state && host.zone == job.zone && !host.state->draining)
       up.push_back(name);
   }
   job.resend_ms = now_ + RESEND_MS;
@@ -195,6 +221,11 @@
     return;
   job.at = up[between(0, static_cast<int64_t>(up.size()) - 1)];
   job.exchange = next_exchange_++;
+  job.runs_until_ms = INT64_MAX;
+  if (options_.leaving_callers > 0 && faulty_ &&
+      chance(options_.leaving_callers))
+    job.leaves_ms = now_ + between(20, 2000);
+  trace(fmt::format("job {} is submitted at {}", job.id, job.at));
   host_call call;
   call.now = now_;
   call.call.exchange = job.exchange;
@@ -230,15 +261,14 @@
   for (caller_job& job : jobs_) {
     if (job.finished)
       continue;
-    if (now_ >= job.deadline_ms) {
-      job.finished = true;
-      auto at = hosts_.find(job.at);
-      if (at != hosts_.end() && at->second.state)
-        at->second.inbox.emplace_back(
-            host_caller_disconnected{now_, job.exchange});
+    if (now_ >= job.deadline_ms || now_ >= job.leaves_ms) {
+      job.finished = now_ >= job.deadline_ms;
+      leave(job);
       continue;
     }
     if (job.at.empty() && now_ >= job.resend_ms) {
+      if (has_runs(job))
+        fail(fmt::format("job {} runs when it is submitted again", job.id));
       ++counts_.resends;
       submit(job);
     }
@@ -249,7 +279,10 @@
   for (caller_job& job : jobs_) {
     if (job.exchange != answer.exchange || job.finished)
       continue;
+    trace(fmt::format("job {} is answered: {}", job.id,
+                      to_string(answer.outcome)));
     job.at.clear();
+    job.leaves_ms = INT64_MAX;
     if (answer.outcome == caller_outcome::completed) {
       ++counts_.completed;
       job.finished = true;
@@ -260,8 +293,7 @@
       if (job.only_refused && job.ran)
         fail(fmt::format("job {} was refused but had run", job.id));
     } else {
-      job.only_refused = false;
-      job.resend_ms = now_ + RESEND_MS;
+      stop_waiting(job);
     }
     return;
   }
@@ -274,26 +306,36 @@
   delayed.order = order;
   delayed.sent_ms = now_;
   delayed.at_ms = now_ + between(0, 2) * STEP_MS;
-  if (faulty_ && order.kind != order_kind::renewal && chance(0.04)) {
-    ++counts_.late_orders;
-    delayed.reply_lost = true;
-    delayed.at_ms = now_ + between(100, 4000);
-    // No reply arrives: the sender gives up at the order's time-out.
-    delayed_order given_up = delayed;
-    given_up.order.task.clear();
-    given_up.at_ms = order.reply_deadline_ms;
-    orders_.push_back(given_up);
-  }
+  if (options_.late_orders > 0 && faulty_ && chance(options_.late_orders))
+    delay_order(delayed, 2'000, 12'000);
+  else if (faulty_ && order.kind != order_kind::renewal && chance(0.04))
+    delay_order(delayed, 100, 4'000);
   orders_.push_back(std::move(delayed));
 }
 
+// No reply arrives: the sender gives up at the order's time-out.
+void host_model::delay_order(delayed_order& delayed,
+                             int64_t low_ms,
+                             int64_t high_ms) {
+  ++counts_.late_orders;
+  delayed.reply_lost = true;
+  delayed.at_ms = now_ + between(low_ms, high_ms);
+  delayed_order given_up = delayed;
+  given_up.is_timeout = true;
+  given_up.at_ms = delayed.order.reply_deadline_ms;
+  orders_.push_back(std::move(given_up));
+}
+
 void host_model::execute(host& from, const host_send& sent) {
+  if (is_cut(from.name, sent.envelope.has_entry_hello() ? CONTROL : sent.host))
+    return;
   if (sent.envelope.has_entry_hello()) {
     known_entry_host& known = entry_hosts_[from.name];
     if (known.incarnation != sent.envelope.incarnation())
       known.first_contact_ms = now_;
     known.incarnation = sent.envelope.incarnation();
     known.zone = from.zone;
+    known.draining = sent.envelope.entry_hello().draining();
     known.upstreams = sent.envelope.entry_hello().upstreams();
     known.last_contact_ms = now_;
     return;
@@ -304,7 +346,8 @@
       {now_ + between(0, 2) * STEP_MS, sent.host, sent.envelope});
 }
 
-void host_model::execute(host& /*from*/, const log_event& note) {
+void host_model::execute(host& from, const log_event& note) {
+  trace(fmt::format("{}: {} {}", from.name, note.event, note.details));
   if (note.event != "ownership_taken")
     return;
   ++counts_.takeovers;
@@ -321,36 +364,50 @@
     execute(host, effect);
 }
 
+void host_model::restart_host(host& host) {
+  start_host(host);
+  trace(fmt::format("{} starts", host.name));
+  if (options_.fault_series && faulty_ && chance(0.3))
+    host.crash_at_ms = now_ + between(5, 400);
+}
+
 // Events get the time at which the host reads them, as in the daemon.
 void host_model::run_host(host& host) {
   if (!host.state && now_ >= host.restart_at_ms)
-    start_host(host);
-  if (!host.state || now_ < host.suspended_until_ms)
+    restart_host(host);
+  if (!host.state)
     return;
-  std::deque<host_event> inbox = std::move(host.inbox);
-  host.inbox.clear();
+  if (now_ < host.suspended_until_ms) {
+    host.was_suspended = true;
+    return;
+  }
+  if (std::exchange(host.was_suspended, false) && options_.leaving_callers > 0)
+    dispatch_event(host, host_tick{now_});
+  std::deque<host_event> inbox = std::exchange(host.inbox, {});
+  for (host_event& event : std::exchange(host.closed, {}))
+    inbox.push_back(std::move(event));
   for (host_event& event : inbox) {
     std::visit([this](auto& kind) { kind.now = now_; }, event);
     dispatch_event(host, event);
   }
   if (now_ % (4 * STEP_MS) == 0)
     dispatch_event(host, host_tick{now_});
+  end_drained(host);
 }
 
 void host_model::deliver_order(const delayed_order& delayed) {
   auto from = hosts_.find(delayed.from);
   bool sender_alive = from != hosts_.end() && from->second.state &&
                       from->second.state->incarnation == delayed.incarnation;
-  bool is_timeout = delayed.reply_lost && delayed.order.task.empty() &&
-                    delayed.order.kind != order_kind::renewal;
-  if (is_timeout) {
+  if (delayed.is_timeout) {
     if (sender_alive)
       from->second.inbox.emplace_back(
           host_order_replied{now_, delayed.order.id, {}});
     return;
   }
   fake_upstream* upstream = find_upstream(delayed.order.upstream);
-  bool unreachable = unreachable_upstreams_.contains(delayed.order.upstream);
+  bool unreachable = unreachable_upstreams_.contains(delayed.order.upstream) ||
+                     is_cut(delayed.from, delayed.order.upstream);
   if (unreachable && !delayed.reply_lost) {
     if (now_ < delayed.order.reply_deadline_ms) {
       orders_.push_back(delayed);
@@ -367,16 +424,17 @@
   bool broken = delayed.held_by != 0 && delayed.held_by != incarnation;
   order_reply reply =
       broken ? order_reply{} : upstream->carry_out(delayed.order, now_);
-  bool waits = delayed.order.kind == order_kind::renewal &&
-               reply.outcome == order_outcome::accepted &&
-               reply.ended.empty() &&
-               now_ + STEP_MS < delayed.sent_ms + delayed.order.wait_ms;
+  bool waits =
+      delayed.order.kind == order_kind::renewal && !delayed.reply_lost &&
+      reply.outcome == order_outcome::accepted && reply.ended.empty() &&
+      now_ + STEP_MS < delayed.sent_ms + delayed.order.wait_ms;
   if (waits) {
     orders_.push_back(delayed);
     orders_.back().at_ms = now_ + STEP_MS;
     orders_.back().held_by = incarnation;
     return;
   }
+  trace(delayed, reply);
   if (sender_alive && !delayed.reply_lost)
     from->second.inbox.emplace_back(
         host_order_replied{now_, delayed.order.id, reply});
@@ -413,7 +471,7 @@
 
 void host_model::send_replica_news(replica& from, const std::string& to) {
   const host& receiver = hosts_[to];
-  if (!receiver.state)
+  if (!receiver.state || is_cut(CONTROL, to))
     return;
   auto& [incarnation, change] = from.sent[to];
   if (incarnation != receiver.state->incarnation)
@@ -429,14 +487,16 @@
 void host_model::send_news(const std::string& to) {
   for (replica& replica : replicas_)
     send_replica_news(replica, to);
-  if (!replicas_.empty())
+  if (!replicas_.empty() || is_cut(CONTROL, to))
     return;
-  wire::envelope envelope = make_news("control");
+  wire::envelope envelope = make_news(CONTROL);
   wire::control_news& news = *envelope.mutable_control_news();
   // A replica does not know all upstreams at all times.
   for (const fake_upstream& upstream : upstreams_) {
     bool known_to_replica = !faulty_ || chance(0.5);
-    if (upstream.info().zone() == hosts_[to].zone && known_to_replica)
+    bool hidden = now_ < hidden_until_[upstream.info().id()];
+    if (upstream.info().zone() == hosts_[to].zone && known_to_replica &&
+        !hidden)
       *news.add_upstreams() = upstream.info();
   }
   messages_.push_back({now_ + between(0, 4) * STEP_MS, to, envelope});
@@ -498,9 +558,16 @@
 void host_model::check_known_capacity(const host& host, const pool& pool) {
   unix_ms calm_since_ms =
       std::max(host.suspended_until_ms, host.restart_at_ms) + CONTACT_MS;
+  auto cut_off = cuts_.find({CONTROL, host.name});
+  if (cut_off != cuts_.end())
+    calm_since_ms = std::max(calm_since_ms, cut_off->second + CONTACT_MS);
   if (pool.token == 0 || now_ < calm_since_ms)
     return;
   for (const auto& [id, upstream] : pool.upstreams) {
+    auto hidden = hidden_until_.find(id);
+    if (hidden != hidden_until_.end() &&
+        now_ < hidden->second + CAPACITY_KNOWN_MS)
+      continue;
     uint32_t known = upstream.info.capacity().cpu_milli();
     if (may_take_work(upstream, now_) && known > recent_capacity(id))
       fail(fmt::format("pool {} takes upstream {} for one of {}", pool.name, id,
@@ -541,6 +608,9 @@
     auto first = running.lower_bound(job.id);
     bool runs = first != running.end() && first->first.starts_with(job.id);
     job.ran = job.ran || runs;
+    if (runs && now_ > job.runs_until_ms)
+      fail(fmt::format("job {} runs for too long after its caller left",
+                       job.id));
     if (runs && job.refused && job.only_refused)
       fail(fmt::format("job {} runs after it was refused", job.id));
   }
@@ -548,8 +618,10 @@
 
 void host_model::step() {
   now_ += STEP_MS;
-  if (faulty_)
+  if (faulty_) {
     inject_faults();
+    inject_further_faults();
+  }
   if (options_.changing_capacity) {
     change_capacities();
     announce_upstreams();
@@ -567,6 +639,7 @@
     step();
   faulty_ = false;
   unreachable_upstreams_.clear();
+  end_further_faults();
   for (unix_ms end = now_ + calm_ms; now_ < end && !violation_;)
     step();
 }
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -2,6 +2,8 @@
 // upstreams with leases and fencing, a control log that grants pools to owners,
 // and callers. Messages and orders are delayed, lost or carried out late; hosts
 // are suspended, crash and restart; upstreams become unreachable and restart.
+// Options add further faults (host_model_faults.cc); without them, a seed
+// stands for the same run as before.
 //
 //   host_model model(seed);
 //   model.run(8'000, 8'000);
@@ -11,6 +13,7 @@
 #define CYCLAMENWOOD_TESTING_HOST_MODEL_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -37,6 +40,12 @@
   uint64_t suspensions = 0;
   // Upstreams that a task has crashed.
   uint64_t upstream_crashes = 0;
+  // Callers that left before an answer and were to submit their job again.
+  uint64_t left = 0;
+  // Links that were cut: between hosts, to the replicas, and to upstreams.
+  uint64_t cuts = 0;
+  // Hosts that ended after a drain.
+  uint64_t drains = 0;
 };
 
 struct host_model_options {
@@ -51,6 +60,27 @@
   // The longest run of a task. Runs longer than the time after which callers
   // submit a job again may meet a run of the next submission.
   int64_t max_run_ms = 500;
+  // The share of submissions whose callers leave before an answer and submit
+  // their job again. Hosts that are suspended see that late.
+  double leaving_callers = 0;
+  // The share of all orders that nobody answers and that are carried out 2 to
+  // 12 s later, beside those that are late without this option.
+  double late_orders = 0;
+  // Upstreams can't be reached by their owner or by another host, and restart
+  // meanwhile; hosts that start don't hear of some upstreams for a while.
+  bool cut_upstreams = false;
+  // Messages between two hosts, or between a host and the replicas, are lost
+  // for a while.
+  bool cut_hosts = false;
+  // Hosts crash at the same time or again after their start, and are suspended
+  // several times on end.
+  bool fault_series = false;
+  // Hosts drain and end.
+  bool draining_hosts = false;
+  // The share by which the clocks of upstreams are slow at most.
+  double slow_clocks = 0;
+  // Receives a line for each event, if it is set.
+  std::function<void(const std::string& line)> trace;
 };
 
 class host_model {
@@ -76,6 +106,15 @@
     unix_ms suspended_until_ms = 0;
     unix_ms restart_at_ms = 0;
     std::deque<host_event> inbox;
+    // Connections that callers closed, which the host sees after a tick and the
+    // events in the inbox.
+    std::deque<host_event> closed;
+    bool was_suspended = false;
+    unix_ms crash_at_ms = INT64_MAX;
+    // Draining: it ends by this time.
+    unix_ms exit_by_ms = INT64_MAX;
+    int suspensions_left = 0;
+    unix_ms next_suspension_ms = 0;
   };
   struct caller_job {
     std::string id;
@@ -87,6 +126,11 @@
     std::string at;
     uint64_t exchange = 0;
     unix_ms resend_ms = 0;
+    // The caller leaves at this time.
+    unix_ms leaves_ms = INT64_MAX;
+    // All runs have ended by this time, since the caller may submit the job
+    // again then.
+    unix_ms runs_until_ms = INT64_MAX;
     // Every submission so far was refused.
     bool only_refused = true;
     bool finished = false;
@@ -118,6 +162,8 @@
     run_order order;
     unix_ms sent_ms = 0;
     bool reply_lost = false;
+    // Not an order, but the end of the wait for the reply to one.
+    bool is_timeout = false;
     // The incarnation of the upstream that delays its reply; 0: none.
     uint64_t held_by = 0;
   };
@@ -126,11 +172,28 @@
   int64_t between(int64_t low, int64_t high);
   void step();
   void inject_faults();
+  void inject_further_faults();
+  void inject_host_faults(host& host);
+  void crash_several_hosts();
+  void cut_hosts();
+  void cut_upstream(fake_upstream& upstream);
+  void cut(const std::string& from, const std::string& to);
+  bool is_cut(const std::string& from, const std::string& to) const;
+  // The host that owns the upstream's pool; empty: none.
+  std::string owner_of(const std::string& upstream) const;
+  void end_drained(host& host);
+  void end_further_faults();
+  void leave(caller_job& job);
+  void stop_waiting(caller_job& job);
+  bool has_runs(const caller_job& job);
+  void trace(const std::string& line) const;
+  void trace(const delayed_order& delayed, const order_reply& reply) const;
   void change_capacities();
   void announce_upstreams();
   void submit_calls();
   void deliver();
   void deliver_order(const delayed_order& delayed);
+  void delay_order(delayed_order& delayed, int64_t low_ms, int64_t high_ms);
   void run_host(host& host);
   void dispatch_event(host& host, const host_event& event);
   void execute(host& from, const host_effect& effect);
@@ -143,6 +206,7 @@
   void send_replica_news(replica& from, const std::string& to);
   wire::envelope make_news(const std::string& from) const;
   void start_host(host& host);
+  void restart_host(host& host);
   void crash(host& host);
   void submit(caller_job& job);
   void check();
@@ -164,6 +228,12 @@
   std::map<std::string, host> hosts_;
   std::vector<fake_upstream> upstreams_;
   std::set<std::string> unreachable_upstreams_;
+  // Links that are cut, (from, to), with the times when they no longer are.
+  std::map<std::pair<std::string, std::string>, unix_ms> cuts_;
+  // By id: when the upstream restarts while it is cut off, and until when hosts
+  // don't hear of it.
+  std::map<std::string, unix_ms> restarts_;
+  std::map<std::string, unix_ms> hidden_until_;
   std::vector<replica> replicas_;
   std::vector<delayed_announcement> announcements_;
   // The replica that each upstream announces itself to, by id.
--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -9,6 +9,25 @@
 namespace cyclamenwood {
 namespace {
 
+host_model_options all_faults() {
+  return {.max_run_ms = 3'000,
+          .leaving_callers = 0.3,
+          .late_orders = 0.3,
+          .cut_upstreams = true,
+          .cut_hosts = true,
+          .fault_series = true,
+          .draining_hosts = true,
+          .slow_clocks = 0.02};
+}
+
+// Those that a suspended host sees late, with half of the orders late.
+host_model_options callers_that_leave() {
+  host_model_options options = all_faults();
+  options.leaving_callers = 0.7;
+  options.late_orders = 0.5;
+  return options;
+}
+
 RC_GTEST_PROP(host_model, keeps_its_promises_under_faults, (uint64_t seed)) {
   host_model model(seed);
   model.run(8'000, 8'000);
@@ -37,6 +56,42 @@
   RC_ASSERT(model.open_jobs() == 0U);
 }
 
+RC_GTEST_PROP(host_model,
+              keeps_its_promises_under_all_faults_together,
+              (uint64_t seed)) {
+  host_model_options options = all_faults();
+  options.changing_capacity = seed % 3 == 0;
+  options.crashing_jobs = seed % 3 == 1 ? 0.1 : 0;
+  host_model model(seed, options);
+  model.run(8'000, 8'000);
+  if (model.violation())
+    RC_FAIL(*model.violation());
+  RC_ASSERT(model.open_jobs() == 0U);
+}
+
+TEST(host_model, a_lease_of_other_runs_does_not_keep_a_run_of_a_lost_host) {
+  host_model longer(100, {.max_run_ms = 3'000});
+  longer.run(8'000, 8'000);
+  EXPECT_FALSE(longer.violation()) << *longer.violation();
+  host_model all(84, all_faults());
+  all.run(8'000, 8'000);
+  EXPECT_FALSE(all.violation()) << *all.violation();
+}
+
+TEST(host_model, a_suspended_host_does_not_start_tasks_of_callers_that_left) {
+  host_model few(59, {.max_run_ms = 3'000,
+                      .leaving_callers = 0.2,
+                      .fault_series = true,
+                      .draining_hosts = true});
+  few.run(8'000, 8'000);
+  EXPECT_FALSE(few.violation()) << *few.violation();
+  for (uint64_t seed : {125, 182, 221}) {
+    host_model model(seed, callers_that_leave());
+    model.run(8'000, 8'000);
+    EXPECT_FALSE(model.violation()) << seed << ": " << *model.violation();
+  }
+}
+
 TEST(host_model, a_refused_job_with_a_returned_task_does_not_run) {
   for (uint64_t seed : {1106, 1148, 1703, 2078, 2705}) {
     host_model model(seed, {.crashing_jobs = 0.1});
@@ -101,5 +156,25 @@
   EXPECT_GT(sum.suspensions, 50U);
 }
 
+// Checks that the options reach their faults.
+TEST(host_model, reaches_every_further_kind_of_fault) {
+  host_model_counts sum;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    host_model model(seed, all_faults());
+    model.run(8'000, 8'000);
+    EXPECT_FALSE(model.violation()) << seed << ": " << *model.violation();
+    sum.completed += model.counts().completed;
+    sum.left += model.counts().left;
+    sum.cuts += model.counts().cuts;
+    sum.drains += model.counts().drains;
+    sum.late_orders += model.counts().late_orders;
+  }
+  EXPECT_GT(sum.completed, 100U);
+  EXPECT_GT(sum.left, 100U);
+  EXPECT_GT(sum.cuts, 100U);
+  EXPECT_GT(sum.drains, 20U);
+  EXPECT_GT(sum.late_orders, 1'000U);
+}
+
 }  // namespace
 }  // namespace cyclamenwood
