--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -17,9 +17,6 @@
 
 // A reply within the zone takes a few ms; the rest allows for a busy process.
 constexpr int64_t ORDER_TIMEOUT_MS = 150;
-// The adoption window beside a run that was requested. The lease can't be
-// extended for that one until the others are requested or stopped.
-constexpr int64_t SHARED_ADOPTION_WINDOW_MS = 100;
 // The wait of renewals that can't extend the lease for long, because of a run
 // that nobody is known to want; that may change soon.
 constexpr int64_t LIMITED_RENEWAL_WAIT_MS = 50;
@@ -123,22 +120,14 @@
                    run.attempt, upstream.info.id(), now - run.discovered_ms)});
 }
 
-bool has_requested_run(const leased_upstream& upstream) {
-  return std::any_of(
-      upstream.runs.begin(), upstream.runs.end(),
-      [](const auto& item) { return item.second.submission != 0; });
-}
-
 void tick_runs(pool& pool,
                leased_upstream& upstream,
                unix_ms now,
                pool_output& out) {
   std::vector<std::string> due;
-  int64_t window_ms = has_requested_run(upstream) ? SHARED_ADOPTION_WINDOW_MS
-                                                  : ADOPTION_WINDOW_MS;
   for (const auto& [name, run] : upstream.runs) {
     bool unclaimed = run.submission == 0 && run.state == run_state::running &&
-                     now >= run.discovered_ms + window_ms;
+                     now >= run.discovered_ms + ADOPTION_WINDOW_MS;
     if (unclaimed || now >= run.resend_ms)
       due.push_back(name);
   }
