Nothing starts for a host whose release is unconfirmed for long

A caller left; the releases were lost on a link that was cut for a moment; then a hello got through and the owner started queued tasks of that job.

The contact that a start relies on now ends with the earliest release that is not confirmed, as that of a lease does.

--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -106,16 +106,20 @@
 
 // ---- pool_leases.cc ---------------------------------------------------------
 
+// When the entry host was last known to be alive and to want all runs that it
+// has requested.
+unix_ms last_wanted_ms(const pool_peer& peer);
+
 // The time beyond which the lease of the upstream must not be extended, because
 // of a run that nobody is known to want until then; INT64_MAX: none.
 unix_ms lease_limit(const pool& pool, const leased_upstream& upstream);
 
 // Whether a run that starts now would end before its job may be submitted
 // again, whatever fails, and would last for long enough otherwise.
-// `contact_ms`: when its entry host was last known to be alive.
+// `wanted_ms`: when its entry host was last known to be alive and to want it.
 bool may_start_under_lease(const pool& pool,
                            const leased_upstream& upstream,
-                           unix_ms contact_ms,
+                           unix_ms wanted_ms,
                            unix_ms now);
 
 // Returns the deadline of a lease that begins now, on the upstream's clock; 0
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -60,10 +60,10 @@
   return "unknown";
 }
 
-// When the entry host of the job was last known to be alive.
-unix_ms last_contact_ms(const pool& pool, const pool_job& job) {
+// When the entry host of the job was last known to want its runs.
+unix_ms last_wanted_ms(const pool& pool, const pool_job& job) {
   auto peer = pool.peers.find(job.from);
-  return peer == pool.peers.end() ? 0 : peer->second.last_contact_ms;
+  return peer == pool.peers.end() ? 0 : last_wanted_ms(peer->second);
 }
 
 // `wanted_ms`: when the run was last known to be wanted.
@@ -108,7 +108,7 @@
       if (upstream.runs[placed->first].submission != submission)
         continue;
       orphan_run(upstream, placed->first, cause,
-                 std::min(wanted_ms, last_contact_ms(pool, job)), now, out);
+                 std::min(wanted_ms, last_wanted_ms(pool, job)), now, out);
       stop_run(pool, upstream, placed->first, now, out);
     }
     found = pool.jobs.erase(found);
--- a/cyclamenwood/pool_leases.cc
+++ b/cyclamenwood/pool_leases.cc
@@ -63,8 +63,7 @@
   auto peer = pool.peers.find(job->second.from);
   if (peer == pool.peers.end())
     return 0;
-  return limit_of_contact(pool, std::min(peer->second.last_contact_ms,
-                                         peer->second.unconfirmed_release_ms));
+  return limit_of_contact(pool, last_wanted_ms(peer->second));
 }
 
 int64_t usual_lease_ms(const pool& pool) {
@@ -79,6 +78,10 @@
 
 }  // namespace
 
+unix_ms last_wanted_ms(const pool_peer& peer) {
+  return std::min(peer.last_contact_ms, peer.unconfirmed_release_ms);
+}
+
 unix_ms lease_limit(const pool& pool, const leased_upstream& upstream) {
   unix_ms limit_ms = INT64_MAX;
   for (const auto& [name, run] : upstream.runs)
@@ -88,10 +91,10 @@
 
 bool may_start_under_lease(const pool& pool,
                            const leased_upstream& upstream,
-                           unix_ms contact_ms,
+                           unix_ms wanted_ms,
                            unix_ms now) {
   return upstream.leases_expire_ms <=
-             contact_ms + pool.options.resubmission_ms - START_MARGIN_MS &&
+             wanted_ms + pool.options.resubmission_ms - START_MARGIN_MS &&
          lease_limit(pool, upstream) >= now + MIN_START_LEASE_MS;
 }
 
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -167,8 +167,8 @@
   auto peer = pool.peers.find(job.from);
   if (peer == pool.peers.end())
     return nullptr;
-  const auto& [last_contact_ms, known_version] = std::pair(
-      peer->second.last_contact_ms, peer->second.known_upstreams_version);
+  unix_ms wanted_ms = last_wanted_ms(peer->second);
+  uint64_t known_version = peer->second.known_upstreams_version;
   leased_upstream* best = nullptr;
   preference best_preference;
   for (auto& [id, upstream] : pool.upstreams) {
@@ -180,7 +180,7 @@
       continue;
     resource_amount free = free_resources(upstream);
     if (!fits(request.need(), free) || upstream.runs.contains(name) ||
-        !may_start_under_lease(pool, upstream, last_contact_ms, now))
+        !may_start_under_lease(pool, upstream, wanted_ms, now))
       continue;
     preference offered{task.failed_on.contains(id),
                        !has_label(upstream.info, request.rack()),
