--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -193,8 +193,8 @@
   std::string host;
   uint64_t next_submission = 1;
   // Whether the ends of callers' connections have been seen up to now, and
-  // callers are still answered. If not, messages contain no echo, so that owners
-  // don't take the callers for waiting.
+  // callers are still answered. If not, messages contain no echo, so that
+  // owners don't take the callers for waiting.
   bool callers_known = true;
   // Set when the process drains: by this time all open jobs are answered. Calls
   // whose job may not end before it are refused.
