--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -19,7 +19,7 @@
 constexpr int64_t ORDER_TIMEOUT_MS = 150;
 // The wait of renewals that can't extend the lease for long, because of a run
 // that nobody is known to want; that may change soon.
-constexpr int64_t LIMITED_RENEWAL_WAIT_MS = 200;
+constexpr int64_t LIMITED_RENEWAL_WAIT_MS = 50;
 // The part of an order number that counts the orders under one token.
 constexpr int ORDER_BITS = 32;
 
