The echo of a release is read without making a hello

What callers saw: nothing; found by reading. A job that ended made a whole hello for each of its pools to read one number from it, and so searched all pending releases; the same condition was written twice, for hellos and for requests.

echo_ms gives that number to all three.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -201,7 +201,7 @@
   const std::string& name = request.pool();
   const wire::owner_grant& grant = intake.grants.at(name);
   if (const pool_view* pool = find_current_pool(intake, name)) {
-    request.set_echo_ms(intake.callers_known ? pool->clock_ms : 0);
+    request.set_echo_ms(echo_ms(intake, name));
     if (request.resumed() && now - pool->first_contact_ms < FORMER_RUNS_MS)
       *request.mutable_former_upstreams() = {pool->former_upstreams.begin(),
                                              pool->former_upstreams.end()};
@@ -542,12 +542,17 @@
     resend_missing(intake, state.pool(), now, out);
 }
 
+int64_t echo_ms(const intake& intake, const std::string& pool) {
+  const pool_view* view = find_current_pool(intake, pool);
+  return view != nullptr && intake.callers_known ? view->clock_ms : 0;
+}
+
 wire::pool_hello make_pool_hello(const intake& intake,
                                  const std::string& name) {
   wire::pool_hello hello;
   hello.set_pool(name);
   if (const pool_view* pool = find_current_pool(intake, name)) {
-    hello.set_echo_ms(intake.callers_known ? pool->clock_ms : 0);
+    hello.set_echo_ms(echo_ms(intake, name));
     hello.set_requests(pool->requests_sent);
     hello.set_have_upstreams(pool->upstreams_version);
     hello.set_have_losses(pool->have_losses);
--- a/cyclamenwood/intake_end.cc
+++ b/cyclamenwood/intake_end.cc
@@ -135,12 +135,12 @@
     if (grant == intake.grants.end())
       continue;
     const std::string& host = grant->second.host();
-    int64_t echo_ms = make_pool_hello(intake, name).echo_ms();
-    send_release(host, submission, name, echo_ms, unfinished, out);
+    int64_t echo = echo_ms(intake, name);
+    send_release(host, submission, name, echo, unfinished, out);
     if (!unfinished)
       continue;
     pending_release& release = intake.releases[{submission, name}];
-    release = {host, token, echo_ms};
+    release = {host, token, echo};
     release.resend_ms = now + RELEASE_RESEND_MS;
     release.expires_ms = now + RELEASE_EXPIRY_MS;
   }
--- a/cyclamenwood/intake_internal.h
+++ b/cyclamenwood/intake_internal.h
@@ -48,6 +48,10 @@
                 unix_ms now,
                 intake_output& out);
 
+// The last time of its clock that the pool's owner reported, as sent back to
+// it; 0 if there is none, or while callers may have left unseen.
+int64_t echo_ms(const intake& intake, const std::string& pool);
+
 // The earliest echo of the releases that the pool's owner has not confirmed; 0
 // if there is none.
 int64_t unconfirmed_echo_ms(const intake& intake, const std::string& pool);
