A refused stop is sent again and keeps its run limited

Cause: stop_replied took every reply for a confirmation. The stop was not sent again, the run no longer limited the leases of its upstream, and an unanswered start counted as barred.

Change: only 'accepted' and 'stale_attempt' confirm a stop; any other refusal is logged (stop_refused) and the stop sent again after 50 ms.

Why it works: a refusal says that nothing was done, so the run is treated as going on until a stop is confirmed or its lease has ended, which the limit of the run brings before its job may be submitted again.

--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -15,8 +15,9 @@
 
 constexpr int64_t UNREACHABLE_RETRY_MS = 50;
 constexpr int64_t LONG_SILENCE_RETRY_MS = 500;
-// An unanswered stop is sent again after this time, doubled each time up to the
-// maximum. Without any answer the run ends with its lease.
+// A stop that was refused is sent again after this time; one that was not
+// answered too, doubled each time up to the maximum. If the upstream carries
+// out none of them, the run ends with its lease.
 constexpr int64_t STOP_RETRY_MS = 50;
 constexpr int64_t MAX_STOP_RETRY_MS = 400;
 // Start orders of one attempt before another upstream is tried.
@@ -198,18 +199,40 @@
   }
 }
 
+// Whether the upstream will carry out no start of the attempt that it was to
+// stop. A refusal for any other reason means that it has done nothing.
+bool confirms_stop(order_outcome outcome) {
+  return outcome == order_outcome::accepted ||
+         outcome == order_outcome::stale_attempt;
+}
+
+void stop_refused(leased_run& run,
+                  const run_order& order,
+                  order_outcome outcome,
+                  unix_ms now,
+                  pool_output& out) {
+  run.resend_ms = now + STOP_RETRY_MS;
+  out.events.push_back(
+      {"stop_refused",
+       fmt::format("task={} attempt={} upstream={} reason={}", order.task,
+                   order.attempt, order.upstream, to_string(outcome))});
+}
+
 void stop_replied(leased_upstream& upstream,
                   const run_order& order,
                   order_outcome outcome,
-                  unix_ms now) {
+                  unix_ms now,
+                  pool_output& out) {
   bool previous_incarnation = order.incarnation != upstream.info.incarnation();
-  if (outcome != order_outcome::unanswered && !previous_incarnation)
+  if (confirms_stop(outcome) && !previous_incarnation)
     start_barred(upstream, order);
   leased_run* run = find_run(upstream, order);
   if (run == nullptr || run->state != run_state::stopping)
     return;
   if (outcome == order_outcome::unanswered)
     run->resend_ms = now + next_stop_delay_ms(*run);
+  else if (!confirms_stop(outcome))
+    stop_refused(*run, order, outcome, now, out);
   else if (previous_incarnation)
     run->resend_ms = now;
   else
@@ -416,7 +439,7 @@
   if (order.kind == order_kind::start)
     start_replied(pool, upstream, order, reply.outcome, now, out);
   else if (order.kind == order_kind::stop)
-    stop_replied(upstream, order, reply.outcome, now);
+    stop_replied(upstream, order, reply.outcome, now, out);
   else if (order.id == upstream.renewal_order)
     renewal_replied(pool, upstream, reply, now, out);
 }
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -422,8 +422,11 @@
   uint64_t incarnation = upstream->info().incarnation();
   // The connection ended with the process that held it.
   bool broken = delayed.held_by != 0 && delayed.held_by != incarnation;
-  order_reply reply =
-      broken ? order_reply{} : upstream->carry_out(delayed.order, now_);
+  order_reply reply;
+  if (refuses(delayed))
+    reply.outcome = order_outcome::unhealthy;
+  else if (!broken)
+    reply = upstream->carry_out(delayed.order, now_);
   bool waits =
       delayed.order.kind == order_kind::renewal && !delayed.reply_lost &&
       reply.outcome == order_outcome::accepted && reply.ended.empty() &&
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -46,6 +46,8 @@
   uint64_t cuts = 0;
   // Hosts that ended after a drain.
   uint64_t drains = 0;
+  // Stops that an unhealthy upstream refused.
+  uint64_t refused_stops = 0;
 };
 
 struct host_model_options {
@@ -66,6 +68,9 @@
   // The share of all orders that nobody answers and that are carried out 2 to
   // 12 s later, beside those that are late without this option.
   double late_orders = 0;
+  // The share of orders that an unhealthy upstream refuses and does not carry
+  // out.
+  double refused_orders = 0;
   // Upstreams can't be reached by their owner or by another host, and restart
   // meanwhile; hosts that start don't hear of some upstreams for a while.
   bool cut_upstreams = false;
@@ -193,6 +198,8 @@
   void submit_calls();
   void deliver();
   void deliver_order(const delayed_order& delayed);
+  // Whether the upstream is unhealthy and refuses the order.
+  bool refuses(const delayed_order& delayed);
   void delay_order(delayed_order& delayed, int64_t low_ms, int64_t high_ms);
   void run_host(host& host);
   void dispatch_event(host& host, const host_event& event);
--- a/cyclamenwood/testing/host_model_faults.cc
+++ b/cyclamenwood/testing/host_model_faults.cc
@@ -185,6 +185,16 @@
   }
 }
 
+bool host_model::refuses(const delayed_order& delayed) {
+  bool may_refuse =
+      options_.refused_orders > 0 && faulty_ && delayed.held_by == 0;
+  if (!may_refuse || !chance(options_.refused_orders))
+    return false;
+  if (delayed.order.kind == order_kind::stop)
+    ++counts_.refused_stops;
+  return true;
+}
+
 // A draining host ends after its last answers, when another one owns its pools.
 void host_model::end_drained(host& host) {
   if (!host.state || !host.state->draining)
--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -69,6 +69,18 @@
   RC_ASSERT(model.open_jobs() == 0U);
 }
 
+// review/2: a stop that an unhealthy upstream refused counted as carried out.
+RC_GTEST_PROP(host_model, a_refused_stop_does_not_keep_a_run, (uint64_t seed)) {
+  host_model_options options = all_faults();
+  options.late_orders = 0;
+  options.refused_orders = 0.3;
+  host_model model(seed, options);
+  model.run(8'000, 8'000);
+  if (model.violation())
+    RC_FAIL(*model.violation());
+  RC_ASSERT(model.open_jobs() == 0U);
+}
+
 TEST(host_model, a_lease_of_other_runs_does_not_keep_a_run_of_a_lost_host) {
   host_model longer(100, {.max_run_ms = 3'000});
   longer.run(8'000, 8'000);
@@ -165,20 +177,24 @@
 // Checks that the options reach their faults.
 TEST(host_model, reaches_every_further_kind_of_fault) {
   host_model_counts sum;
+  host_model_options options = all_faults();
+  options.refused_orders = 0.2;
   for (uint64_t seed = 1; seed <= 20; ++seed) {
-    host_model model(seed, all_faults());
+    host_model model(seed, options);
     model.run(8'000, 8'000);
     EXPECT_FALSE(model.violation()) << seed << ": " << *model.violation();
     sum.completed += model.counts().completed;
     sum.left += model.counts().left;
     sum.cuts += model.counts().cuts;
     sum.drains += model.counts().drains;
+    sum.refused_stops += model.counts().refused_stops;
     sum.late_orders += model.counts().late_orders;
   }
   EXPECT_GT(sum.completed, 100U);
   EXPECT_GT(sum.left, 100U);
   EXPECT_GT(sum.cuts, 100U);
   EXPECT_GT(sum.drains, 20U);
+  EXPECT_GT(sum.refused_stops, 20U);
   EXPECT_GT(sum.late_orders, 1'000U);
 }
 
--- a/cyclamenwood/testing/pool_fixture.h
+++ b/cyclamenwood/testing/pool_fixture.h
@@ -120,7 +120,10 @@
         --drop_starts;
       order_replied(state, order.id, {}, now, out);
     } else {
-      order_reply reply = upstream->carry_out(order, now);
+      bool refused = order.kind == order_kind::stop && refuse_stops;
+      order_reply reply = refused
+                              ? order_reply{.outcome = order_outcome::unhealthy}
+                              : upstream->carry_out(order, now);
       bool waits = order.kind == order_kind::renewal && reply.ended.empty() &&
                    now < sent + order.wait_ms;
       if (waits) {
@@ -153,6 +156,8 @@
   std::set<std::string> unreachable;
   int drop_starts = 0;
   bool drop_stops = false;
+  // Upstreams answer stops with a refusal and do not carry them out.
+  bool refuse_stops = false;
   int64_t unconfirmed_echo_ms = 0;
   bool keep_peers = true;
 };
