The replicated log is bounded in bytes

Cause: the log, appends, entries in flight and queues were bounded by their number, while each entry holds a whole configuration; the file's rewrite and the start held further copies.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -61,8 +61,8 @@
     log_line(log_level::info, "started",
              fmt::format("name={} identity={:016x} rpc={}", settings_.name,
                          value(contents).identity, settings_.rpc));
-    if (result<done> up =
-            runner_.start(std::move(state), value(contents), settings_.rpc);
+    if (result<done> up = runner_.start(
+            std::move(state), std::move(value(contents).writes), settings_.rpc);
         !ok(up))
       return up;
     if (result<done> up = http_.listen(settings_.control); !ok(up))
@@ -226,6 +226,11 @@
     seen.set("raft_leads", "", raft.role == raft_role::leader ? 1 : 0);
     seen.set("raft_voters", "", raft.members.voters_size());
     seen.set("raft_commit_index", "", static_cast<double>(raft.commit_index));
+    seen.set("raft_log_entries", "", static_cast<double>(raft.log.size()));
+    seen.set("raft_log_bytes", "",
+             static_cast<double>(raft_log_bytes(raft, raft.snapshot.index() + 1,
+                                                raft_last_index(raft))));
+    seen.set("wal_bytes", "", static_cast<double>(runner_.log_bytes()));
     seen.set("upstreams_heard", "",
              static_cast<double>(state.control->directory.records.size()));
     seen.set("entry_hosts_heard", "",
--- a/cyclamenwood/raft.cc
+++ b/cyclamenwood/raft.cc
@@ -180,7 +180,7 @@
       record = &begin_write(group, out);
     if (known) {
       record->set_truncate_from(entry.index());
-      group.log.resize(entry.index() - group.snapshot.index() - 1);
+      truncate_log(group, entry.index());
       group.synced_index = std::min(group.synced_index, entry.index() - 1);
       refresh_members(group);
     }
--- a/cyclamenwood/raft.h
+++ b/cyclamenwood/raft.h
@@ -57,8 +57,13 @@
   // An append without an answer is sent again after this time.
   int64_t resend_timeout_ms = 500;
   size_t max_entries_per_message = 512;
-  // Limit on entries sent but not yet acknowledged, per replica.
+  // One entry is sent whatever its size.
+  uint64_t max_bytes_per_message = 1 << 20;
+  // Limits on entries sent but not yet acknowledged, per replica.
   size_t max_entries_in_flight = 4096;
+  uint64_t max_bytes_in_flight = 2 << 20;
+  // Limit on entries that are not committed yet; see raft_has_room().
+  uint64_t max_uncommitted_bytes = 8 << 20;
   // Any host may join as a learner, and a learner may replace a voter that has
   // not been in contact for `replace_after_ms`. Otherwise only the hosts of the
   // initial membership participate.
@@ -105,6 +110,10 @@
   // Entries after the snapshot. Invariant: log[i].index ==
   // snapshot.index + 1 + i.
   std::deque<wire::log_entry> log;
+  // Total size of all entries up to and including log[i], counted from
+  // `log_start_bytes`. Invariant: log_ends_bytes.size() == log.size().
+  std::deque<uint64_t> log_ends_bytes;
+  uint64_t log_start_bytes = 0;
   wire::snapshot snapshot;
 
   // In force until the log contains a membership. Persistent.
@@ -200,6 +209,11 @@
                                      wire::command command,
                                      raft_output& out);
 
+// Whether entries that are not committed yet leave room for another one. A
+// caller that proposes large commands checks this first: a leader whose
+// followers are slow would otherwise collect them without a limit.
+bool raft_has_room(const raft_group& group);
+
 // Sends the commands proposed since the last call. To be called before the
 // sync, so that all replicas write to disk in parallel.
 void raft_flush(raft_group& group, int64_t now, raft_output& out);
@@ -226,6 +240,8 @@
 bool raft_hand_over(raft_group& group, int64_t now, raft_output& out);
 
 uint64_t raft_last_index(const raft_group& group);
+// The size of the log's entries from `first` to `last`; both are in the log.
+uint64_t raft_log_bytes(const raft_group& group, uint64_t first, uint64_t last);
 bool raft_is_voter(const raft_group& group, uint64_t identity);
 // Empty when no leader is known.
 std::string raft_leader_host(const raft_group& group);
@@ -233,9 +249,10 @@
 // that its state machine holds every acknowledged command.
 bool raft_leader_ready(const raft_group& group);
 
-// Returns one write that holds the replica's whole persistent state, for the
-// start of a new write-ahead log file.
-wire::wal_write raft_dump(const raft_group& group);
+// Returns writes that hold the replica's whole persistent state, for the start
+// of a new write-ahead log file. None is much larger than
+// `max_bytes_per_message`, apart from one with a larger snapshot or entry.
+std::vector<wire::wal_write> raft_dump(const raft_group& group);
 
 }  // namespace cyclamenwood
 
--- a/cyclamenwood/raft_internal.h
+++ b/cyclamenwood/raft_internal.h
@@ -27,6 +27,8 @@
 void append_entry(raft_group& group,
                   wire::log_entry entry,
                   wire::wal_write& record);
+// Removes the entries from `index` on.
+void truncate_log(raft_group& group, uint64_t index);
 
 // ---- raft_leader.cc ---------------------------------------------------------
 
--- a/cyclamenwood/raft_leader.cc
+++ b/cyclamenwood/raft_leader.cc
@@ -25,8 +25,29 @@
   out.messages.push_back(std::move(message));
 }
 
+// The size of the entries that were sent and not acknowledged. Those that a
+// snapshot has replaced count as acknowledged.
+uint64_t bytes_in_flight(const raft_group& group,
+                         const raft_progress& progress) {
+  uint64_t first = std::max(progress.match, group.snapshot.index()) + 1;
+  return raft_log_bytes(group, first, progress.next - 1);
+}
+
 bool can_pipeline(const raft_group& group, const raft_progress& progress) {
-  return progress.next - progress.match <= group.options.max_entries_in_flight;
+  const raft_options& options = group.options;
+  return progress.next - progress.match <= options.max_entries_in_flight &&
+         bytes_in_flight(group, progress) < options.max_bytes_in_flight;
+}
+
+// The last entry of an append that begins with the entry `first`.
+uint64_t end_of_append(const raft_group& group, uint64_t first) {
+  const raft_options& options = group.options;
+  uint64_t end = std::min<uint64_t>(
+      raft_last_index(group), first + options.max_entries_per_message - 1);
+  while (end > first &&
+         raft_log_bytes(group, first, end) > options.max_bytes_per_message)
+    --end;
+  return end;
 }
 
 // Sends an append without entries. It refers to an index that is known to
@@ -105,8 +126,7 @@
   request.set_previous_index(previous);
   request.set_previous_term(*previous_term);
   request.set_commit_index(group.commit_index);
-  uint64_t end = std::min<uint64_t>(
-      raft_last_index(group), previous + group.options.max_entries_per_message);
+  uint64_t end = end_of_append(group, progress.next);
   for (uint64_t index = progress.next; index <= end; ++index)
     *request.add_entries() = entry_at(group, index);
   if (request.entries_size() > 0)
@@ -228,6 +248,12 @@
     send_pending_entries(group, now, out);
 }
 
+bool raft_has_room(const raft_group& group) {
+  uint64_t first = std::max(group.commit_index, group.snapshot.index()) + 1;
+  return raft_log_bytes(group, first, raft_last_index(group)) <
+         group.options.max_uncommitted_bytes;
+}
+
 std::optional<uint64_t> raft_propose(raft_group& group,
                                      wire::command command,
                                      raft_output& out) {
--- a/cyclamenwood/raft_log.cc
+++ b/cyclamenwood/raft_log.cc
@@ -27,6 +27,34 @@
   return {0, &group.initial_members};
 }
 
+void push_entry(raft_group& group, wire::log_entry entry) {
+  uint64_t start = group.log_ends_bytes.empty() ? group.log_start_bytes
+                                                : group.log_ends_bytes.back();
+  group.log_ends_bytes.push_back(start + entry.ByteSizeLong());
+  group.log.push_back(std::move(entry));
+}
+
+// Removes the entries up to `index`.
+void drop_log_through(raft_group& group, uint64_t index) {
+  while (!group.log.empty() && group.log.front().index() <= index) {
+    group.log.pop_front();
+    group.log_start_bytes = group.log_ends_bytes.front();
+    group.log_ends_bytes.pop_front();
+  }
+}
+
+// The write that a new write-ahead log begins with.
+wire::wal_write dump_without_log(const raft_group& group) {
+  wire::wal_write dump;
+  dump.set_group(group.name);
+  dump.set_term(group.term);
+  dump.set_voted_for(group.voted_for);
+  *dump.mutable_initial_members() = group.initial_members;
+  if (group.snapshot.index() > 0)
+    *dump.mutable_snapshot() = group.snapshot;
+  return dump;
+}
+
 }  // namespace
 
 uint64_t last_term(const raft_group& group) {
@@ -60,10 +88,8 @@
 // been acknowledged.
 void adopt_snapshot(raft_group& group, const wire::snapshot& snapshot) {
   bool continues = term_at(group, snapshot.index()) == snapshot.term();
-  if (!continues)
-    group.log.clear();
-  while (!group.log.empty() && group.log.front().index() <= snapshot.index())
-    group.log.pop_front();
+  drop_log_through(group,
+                   continues ? snapshot.index() : raft_last_index(group));
   group.snapshot = snapshot;
   refresh_members(group);
 }
@@ -108,11 +134,17 @@
                   wire::wal_write& record) {
   *record.add_entries() = entry;
   bool changes_members = entry.command().has_members();
-  group.log.push_back(std::move(entry));
+  push_entry(group, std::move(entry));
   if (changes_members)
     refresh_members(group);
 }
 
+void truncate_log(raft_group& group, uint64_t index) {
+  size_t kept = index - group.snapshot.index() - 1;
+  group.log.resize(kept);
+  group.log_ends_bytes.resize(kept);
+}
+
 void raft_replay(raft_group& group, const wire::wal_write& write) {
   group.term = write.term();
   group.voted_for = write.voted_for();
@@ -123,10 +155,10 @@
   uint64_t truncate_from = write.truncate_from();
   if (truncate_from > group.snapshot.index() &&
       truncate_from <= raft_last_index(group))
-    group.log.resize(truncate_from - group.snapshot.index() - 1);
+    truncate_log(group, truncate_from);
   for (const wire::log_entry& entry : write.entries()) {
     if (entry.index() == raft_last_index(group) + 1)
-      group.log.push_back(entry);
+      push_entry(group, entry);
   }
   refresh_members(group);
 }
@@ -157,17 +189,33 @@
   *begin_write(group, out).mutable_snapshot() = group.snapshot;
 }
 
-wire::wal_write raft_dump(const raft_group& group) {
-  wire::wal_write dump;
-  dump.set_group(group.name);
-  dump.set_term(group.term);
-  dump.set_voted_for(group.voted_for);
-  *dump.mutable_initial_members() = group.initial_members;
-  if (group.snapshot.index() > 0)
-    *dump.mutable_snapshot() = group.snapshot;
-  for (const wire::log_entry& entry : group.log)
-    *dump.add_entries() = entry;
-  return dump;
+std::vector<wire::wal_write> raft_dump(const raft_group& group) {
+  std::vector<wire::wal_write> writes{dump_without_log(group)};
+  uint64_t first = group.snapshot.index() + 1;
+  for (const wire::log_entry& entry : group.log) {
+    bool is_full = raft_log_bytes(group, first, entry.index()) >
+                   group.options.max_bytes_per_message;
+    if (is_full) {
+      first = entry.index();
+      wire::wal_write& next = writes.emplace_back();
+      next.set_group(group.name);
+      next.set_term(group.term);
+      next.set_voted_for(group.voted_for);
+    }
+    *writes.back().add_entries() = entry;
+  }
+  return writes;
+}
+
+uint64_t raft_log_bytes(const raft_group& group,
+                        uint64_t first,
+                        uint64_t last) {
+  auto end_of = [&group](uint64_t index) {
+    return index == group.snapshot.index()
+               ? group.log_start_bytes
+               : group.log_ends_bytes[index - group.snapshot.index() - 1];
+  };
+  return first > last ? 0 : end_of(last) - end_of(first - 1);
 }
 
 uint64_t raft_last_index(const raft_group& group) {
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 #include "cyclamenwood/replica_internal.h"
@@ -209,14 +210,31 @@
   return claims == nullptr ? 0 : claims->records.size();
 }
 
-// Takes a snapshot when the log exceeds its bound. The bound grows with the
-// number of claim records, so that the cost of a snapshot stays proportional to
-// the number of commands since the previous one.
-void compact(replica_state& state, replica_group& group, raft_output& out) {
+// Whether the log exceeds its bound in entries. That grows with the number of
+// claim records, so that the cost of a snapshot stays proportional to the
+// number of commands since the previous one.
+bool has_many_entries(const replica_state& state, const replica_group& group) {
   size_t bound = std::max<size_t>(state.options.snapshot_min_entries,
                                   machine_records(group) / 2);
-  if (group.raft.log.size() <= bound ||
-      group.applied_index <= group.raft.snapshot.index())
+  return group.raft.log.size() > bound;
+}
+
+// Whether the applied entries exceed the bound of the log in bytes. An entry
+// may contain a whole configuration. The size of the last snapshot keeps its
+// cost proportional here too.
+bool has_large_entries(const replica_state& state, const replica_group& group) {
+  uint64_t bound = std::max<uint64_t>(state.options.snapshot_min_bytes,
+                                      group.raft.snapshot.data().size());
+  return raft_log_bytes(group.raft, group.raft.snapshot.index() + 1,
+                        group.applied_index) > bound;
+}
+
+// Takes a snapshot when the log exceeds a bound.
+void compact(replica_state& state, replica_group& group, raft_output& out) {
+  bool is_due =
+      group.applied_index > group.raft.snapshot.index() &&
+      (has_many_entries(state, group) || has_large_entries(state, group));
+  if (!is_due)
     return;
   raft_compact(group.raft, group.applied_index, save(group), out);
 }
@@ -363,7 +381,8 @@
   replica_group* group = config_group(state);
   roll_out_outcome refusal;
   refusal.result = wire::ROLL_OUT_NOT_LEADER;
-  if (group == nullptr || !raft_leader_ready(group->raft)) {
+  if (group == nullptr || !raft_leader_ready(group->raft) ||
+      !raft_has_room(group->raft)) {
     std::string hint;
     if (group != nullptr && group->raft.role != raft_role::leader)
       hint = raft_leader_host(group->raft);
@@ -636,8 +655,10 @@
 
 std::vector<wire::wal_write> dump_writes(const replica_state& state) {
   std::vector<wire::wal_write> writes;
-  for (const auto& [name, group] : state.groups)
-    writes.push_back(raft_dump(group.raft));
+  for (const auto& [name, group] : state.groups) {
+    std::vector<wire::wal_write> dump = raft_dump(group.raft);
+    std::move(dump.begin(), dump.end(), std::back_inserter(writes));
+  }
   return writes;
 }
 
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -69,7 +69,7 @@
   replica_group& group = control_group(state);
   raft_output result;
   std::optional<uint64_t> index;
-  if (raft_leader_ready(group.raft))
+  if (raft_leader_ready(group.raft) && raft_has_room(group.raft))
     index = raft_propose(group.raft, std::move(command), result);
   if (index) {
     state.control->waiting[exchange] = {
@@ -85,6 +85,24 @@
   process_raft_output(state, group, std::move(result), out);
 }
 
+// Returns the entry of this leader that will settle a submission of the version
+// as soon as it is committed: the first one with this version or a higher one.
+// Operators send a configuration again until it is acknowledged.
+std::optional<uint64_t> find_pending_config(const replica_group& group,
+                                            uint64_t version) {
+  if (!raft_leader_ready(group.raft))
+    return std::nullopt;
+  std::optional<uint64_t> found;
+  for (auto entry = group.raft.log.rbegin(); entry != group.raft.log.rend();
+       ++entry) {
+    if (entry->index() <= group.applied_index)
+      break;
+    if (entry->command().latest().version() >= version)
+      found = entry->index();
+  }
+  return found;
+}
+
 void answer_operators(replica_state& state,
                       const replica_group& group,
                       const wire::log_entry& entry,
@@ -120,7 +138,9 @@
   unix_ms now = state.control->last_tick_ms;
   if (reader.have_version >= version)
     return false;
-  if (reader.sent_version >= version)
+  // At most one configuration is on its way to a reader, so that those for a
+  // reader that can't be reached do not add up.
+  if (reader.sent_version > reader.have_version)
     return now >= reader.config_sent_ms + CONFIG_RESEND_MS;
   return group.raft.role == raft_role::leader ||
          now >= state.control->latest_applied_ms + FOLLOWER_SEND_DELAY_MS;
@@ -381,6 +401,13 @@
     answer(out, event.exchange, operator_outcome::accepted);
     return;
   }
+  if (std::optional<uint64_t> pending =
+          find_pending_config(control_group(state), event.latest.version())) {
+    state.control->waiting[event.exchange] = {
+        *pending, control_group(state).raft.term,
+        event.now + OPERATOR_TIMEOUT_MS, false};
+    return;
+  }
   wire::command command;
   command.set_stamp_ms(event.now);
   *command.mutable_latest() = event.latest;
--- a/cyclamenwood/replica_daemon.cc
+++ b/cyclamenwood/replica_daemon.cc
@@ -76,8 +76,8 @@
     log_line(log_level::info, "started",
              fmt::format("name={} identity={:016x} rpc={}", name_,
                          value(contents).identity, self.rpc));
-    if (result<done> started =
-            runner_.start(std::move(state), value(contents), self.rpc);
+    if (result<done> started = runner_.start(
+            std::move(state), std::move(value(contents).writes), self.rpc);
         !ok(started))
       return started;
     loop_.run();
--- a/cyclamenwood/replica_runner.cc
+++ b/cyclamenwood/replica_runner.cc
@@ -45,11 +45,13 @@
 }
 
 result<done> replica_runner::start(replica_state state,
-                                   const wal_contents& contents,
+                                   std::vector<wire::wal_write> writes,
                                    const std::string& rpc_address) {
   state_ = std::move(state);
-  for (const wire::wal_write& write : contents.writes)
+  for (wire::wal_write& write : writes) {
     replay_write(state_, write);
+    write = {};
+  }
   if (result<done> listening = rpc_.listen(rpc_address); !ok(listening))
     return listening;
   loop_.set_batch_handler([this] { sync(); });
--- a/cyclamenwood/replica_runner.h
+++ b/cyclamenwood/replica_runner.h
@@ -36,9 +36,9 @@
   // Opens the data folder and reads its log.
   result<wal_contents> open(const std::string& folder);
 
-  // Replays the log, listens on `rpc_address` and starts the replica.
+  // Replays the writes, listens on `rpc_address` and starts the replica.
   result<done> start(replica_state state,
-                     const wal_contents& contents,
+                     std::vector<wire::wal_write> writes,
                      const std::string& rpc_address);
 
   // Sets the receiver of answers to operators' requests.
--- a/cyclamenwood/rpc.cc
+++ b/cyclamenwood/rpc.cc
@@ -31,7 +31,9 @@
 constexpr int MIN_RECONNECT_BACKOFF_MS = 100;
 constexpr int MAX_RECONNECT_BACKOFF_MS = 500;
 constexpr int MAX_MESSAGE_BYTES = 256 << 20;
-constexpr size_t MAX_QUEUED_BYTES = size_t{64} << 20;
+// A process has some dozens of streams and as little as 128 MB. A larger
+// message is queued only alone.
+constexpr size_t MAX_QUEUED_BYTES = size_t{8} << 20;
 constexpr auto REOPEN_DELAY = std::chrono::milliseconds(50);
 
 using steady_clock = std::chrono::steady_clock;
--- a/cyclamenwood/settings.cc
+++ b/cyclamenwood/settings.cc
@@ -214,6 +214,8 @@
 void fill_replica(json_reader& reader, replica_options& replica) {
   replica.snapshot_min_entries = reader.integer(
       "snapshot_min_entries", 8, MAX_COUNT, replica.snapshot_min_entries);
+  replica.snapshot_min_bytes = reader.integer(
+      "snapshot_min_bytes", 4096, MAX_BYTES, replica.snapshot_min_bytes);
   replica.max_claim_records = reader.integer("max_claim_records", 1, MAX_COUNT,
                                              replica.max_claim_records);
   replica.max_log_bytes =
--- a/cyclamenwood/settings.h
+++ b/cyclamenwood/settings.h
@@ -116,6 +116,9 @@
 struct replica_options {
   // Number of log entries above which they are replaced by a snapshot.
   int64_t snapshot_min_entries = 4'096;
+  // Size of the log entries above which they are replaced by a snapshot, unless
+  // the last snapshot was larger.
+  int64_t snapshot_min_bytes = 4 << 20;
   // Limit of the claim records of a group.
   int64_t max_claim_records = 200'000;
   // Size of the write-ahead log above which it is rewritten.
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -4,24 +4,15 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <deque>
 
 #include "cyclamenwood/owner_policy.h"
 #include "cyclamenwood/pool_name.h"
 #include "cyclamenwood/replica.h"
+#include "cyclamenwood/testing/control_fixture.h"
 
 namespace cyclamenwood {
 namespace {
 
-constexpr int64_t STEP_MS = 10;
-
-wire::roll_out make_config(uint64_t version, const std::string& content) {
-  wire::roll_out config;
-  config.set_version(version);
-  config.set_content(content);
-  return config;
-}
-
 wire::owner_grant make_grant(const std::string& zone,
                              const std::string& host,
                              uint64_t incarnation) {
@@ -285,112 +276,6 @@
       directory, announcement(6, 1, wire::UPSTREAM_READY), 3000));
 }
 
-// Replicas on a network that delivers at once, except to and from the hosts in
-// `cut`.
-class control_fixture : public testing::Test {
- protected:
-  void SetUp() override {
-    for (const char* host : {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"})
-      add(host, true);
-  }
-
-  void add(const std::string& host, bool initial_voter) {
-    add(host, initial_voter, "zone-of-" + host, 3);
-  }
-
-  void add(const std::string& host,
-           bool initial_voter,
-           const std::string& zone,
-           int target_voters) {
-    host_settings settings;
-    settings.rpc = host;
-    settings.zone = zone;
-    settings.seeds = {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"};
-    raft_options raft;
-    raft.election_timeout_ms = 500;
-    raft.heartbeat_interval_ms = 100;
-    raft.first_election_timeout_ms = 150;
-    raft.open_membership = true;
-    raft.target_voters = target_voters;
-    uint64_t identity =
-        initial_voter ? bootstrap_identity(host) : 900 + hosts.size();
-    hosts.emplace(host, make_control_replica(settings, {}, raft, identity,
-                                             identity, now));
-    feed(host, replica_started{now});
-  }
-
-  void feed(const std::string& host, const replica_event& event) {
-    std::deque<std::pair<std::string, replica_event>> inbox{{host, event}};
-    while (!inbox.empty()) {
-      auto [to, next] = std::move(inbox.front());
-      inbox.pop_front();
-      bool wrote = false;
-      for (replica_effect& effect : reduce(hosts.at(to), next)) {
-        if (std::holds_alternative<replica_persist>(effect))
-          wrote = true;
-        if (auto* sent = std::get_if<replica_send>(&effect))
-          deliver(to, *sent, inbox);
-        if (auto* answer = std::get_if<replica_operator_answer>(&effect))
-          answers[answer->exchange] = *answer;
-      }
-      if (wrote)
-        inbox.emplace_back(to, replica_synced{now, 0});
-    }
-  }
-
-  void deliver(const std::string& from,
-               const replica_send& sent,
-               std::deque<std::pair<std::string, replica_event>>& inbox) {
-    if (sent.envelope.has_control_news()) {
-      updates[sent.host] = sent.envelope.control_news();
-      configs_sent += sent.envelope.control_news().has_latest() ? 1 : 0;
-    }
-    bool reaches = hosts.contains(sent.host) && !cut.contains(from) &&
-                   !cut.contains(sent.host);
-    if (reaches)
-      inbox.emplace_back(sent.host, replica_received{now, sent.envelope});
-  }
-
-  void run_for(int64_t ms) {
-    for (unix_ms end = now + ms; now < end;) {
-      now += STEP_MS;
-      for (const auto& [host, state] : hosts)
-        feed(host, replica_tick{now});
-    }
-  }
-
-  std::string leader() {
-    for (const auto& [host, state] : hosts) {
-      if (!cut.contains(host) && raft_leader_ready(group(host).raft))
-        return host;
-    }
-    return {};
-  }
-
-  const replica_group& group(const std::string& host) {
-    return hosts.at(host).groups.begin()->second;
-  }
-
-  void hello(const std::string& from, const std::string& zone) {
-    wire::envelope envelope;
-    envelope.set_from(from);
-    envelope.set_incarnation(1);
-    envelope.mutable_entry_hello()->set_zone(zone);
-    for (const auto& [host, state] : hosts) {
-      if (!cut.contains(host))
-        feed(host, replica_received{now, envelope});
-    }
-  }
-
-  unix_ms now = 1'000'000;
-  std::map<std::string, replica_state> hosts;
-  std::map<uint64_t, replica_operator_answer> answers;
-  std::map<std::string, wire::control_news> updates;
-  // Number of updates that contained a configuration.
-  int configs_sent = 0;
-  std::set<std::string> cut;
-};
-
 TEST_F(control_fixture, bootstrap_elects_from_the_seeds_and_serves_operators) {
   run_for(3000);
   std::string first = leader();
--- a/cyclamenwood/wal.cc
+++ b/cyclamenwood/wal.cc
@@ -205,7 +205,7 @@
       contents.identity = record.identity().identity();
       contents.host = record.identity().host();
     } else if (record.has_write()) {
-      contents.writes.push_back(record.write());
+      contents.writes.push_back(std::move(*record.mutable_write()));
     }
     offset += HEADER_BYTES + payload->size();
   }
