--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -438,6 +438,8 @@
     return;
   }
   trace(delayed, reply);
+  if (loses_reply())
+    reply = {};
   if (sender_alive && !delayed.reply_lost)
     from->second.inbox.emplace_back(
         host_order_replied{now_, delayed.order.id, reply});
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -48,6 +48,7 @@
   uint64_t drains = 0;
   // Stops that an unhealthy upstream refused.
   uint64_t refused_stops = 0;
+  uint64_t lost_replies = 0;
 };
 
 struct host_model_options {
@@ -71,6 +72,9 @@
   // The share of orders that an unhealthy upstream refuses and does not carry
   // out.
   double refused_orders = 0;
+  // The share of orders that are carried out, but whose connection ends before
+  // the reply.
+  double lost_replies = 0;
   // Upstreams can't be reached by their owner or by another host, and restart
   // meanwhile; hosts that start don't hear of some upstreams for a while.
   bool cut_upstreams = false;
@@ -200,6 +204,7 @@
   void deliver_order(const delayed_order& delayed);
   // Whether the upstream is unhealthy and refuses the order.
   bool refuses(const delayed_order& delayed);
+  bool loses_reply();
   void delay_order(delayed_order& delayed, int64_t low_ms, int64_t high_ms);
   void run_host(host& host);
   void dispatch_event(host& host, const host_event& event);
--- a/cyclamenwood/testing/host_model_faults.cc
+++ b/cyclamenwood/testing/host_model_faults.cc
@@ -195,6 +195,13 @@
   return true;
 }
 
+bool host_model::loses_reply() {
+  bool is_lost =
+      options_.lost_replies > 0 && faulty_ && chance(options_.lost_replies);
+  counts_.lost_replies += is_lost ? 1 : 0;
+  return is_lost;
+}
+
 // A draining host ends after its last answers, when another one owns its pools.
 void host_model::end_drained(host& host) {
   if (!host.state || !host.state->draining)
--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -81,6 +81,22 @@
   RC_ASSERT(model.open_jobs() == 0U);
 }
 
+// Issue 34: runs that went on beside another one, on days with lost answers and
+// unhealthy executors.
+RC_GTEST_PROP(host_model,
+              lost_and_refused_orders_leave_one_run,
+              (uint64_t seed)) {
+  host_model_options options = all_faults();
+  options.late_orders = seed % 2 == 0 ? 0.2 : 0;
+  options.refused_orders = 0.2;
+  options.lost_replies = 0.3;
+  host_model model(seed, options);
+  model.run(8'000, 8'000);
+  if (model.violation())
+    RC_FAIL(*model.violation());
+  RC_ASSERT(model.open_jobs() == 0U);
+}
+
 TEST(host_model, a_lease_of_other_runs_does_not_keep_a_run_of_a_lost_host) {
   host_model longer(100, {.max_run_ms = 3'000});
   longer.run(8'000, 8'000);
@@ -130,6 +146,14 @@
     model.run(8'000, 8'000);
     EXPECT_FALSE(model.violation()) << seed << ": " << *model.violation();
   }
+  // The start is of a former owner, and the lease that it asks for has not
+  // ended.
+  host_model_options options = all_faults();
+  options.late_orders = 0;
+  options.refused_orders = 0.3;
+  host_model former_owner(2721, options);
+  former_owner.run(8'000, 8'000);
+  EXPECT_FALSE(former_owner.violation()) << *former_owner.violation();
 }
 
 TEST(host_model, a_run_ends_before_its_job_is_submitted_again) {
@@ -179,6 +203,7 @@
   host_model_counts sum;
   host_model_options options = all_faults();
   options.refused_orders = 0.2;
+  options.lost_replies = 0.1;
   for (uint64_t seed = 1; seed <= 20; ++seed) {
     host_model model(seed, options);
     model.run(8'000, 8'000);
@@ -188,6 +213,7 @@
     sum.cuts += model.counts().cuts;
     sum.drains += model.counts().drains;
     sum.refused_stops += model.counts().refused_stops;
+    sum.lost_replies += model.counts().lost_replies;
     sum.late_orders += model.counts().late_orders;
   }
   EXPECT_GT(sum.completed, 100U);
@@ -195,6 +221,7 @@
   EXPECT_GT(sum.cuts, 100U);
   EXPECT_GT(sum.drains, 20U);
   EXPECT_GT(sum.refused_stops, 20U);
+  EXPECT_GT(sum.lost_replies, 100U);
   EXPECT_GT(sum.late_orders, 1'000U);
 }
 
--- a/tools/host_soak.cc
+++ b/tools/host_soak.cc
@@ -27,6 +27,7 @@
     "  --leaving-callers=SHARE   callers that leave before an answer\n"
     "  --late-orders=SHARE       orders that are carried out 2 to 12 s later\n"
     "  --refused-orders=SHARE    orders that an unhealthy upstream refuses\n"
+    "  --lost-replies=SHARE      orders that are carried out without a reply\n"
     "  --slow-clocks=SHARE       by which clocks of upstreams are slow at "
     "most\n"
     "  --changing-capacity --restarting-clocks --cut-upstreams --cut-hosts\n"
@@ -61,6 +62,8 @@
     model.late_orders = std::strtod(text, nullptr);
   else if (name == "refused-orders")
     model.refused_orders = std::strtod(text, nullptr);
+  else if (name == "lost-replies")
+    model.lost_replies = std::strtod(text, nullptr);
   else if (name == "slow-clocks")
     model.slow_clocks = std::strtod(text, nullptr);
   else if (name == "changing-capacity")
@@ -88,6 +91,7 @@
       {"leaving-callers", required_argument, nullptr, 0},
       {"late-orders", required_argument, nullptr, 0},
       {"refused-orders", required_argument, nullptr, 0},
+      {"lost-replies", required_argument, nullptr, 0},
       {"slow-clocks", required_argument, nullptr, 0},
       {"changing-capacity", no_argument, nullptr, 0},
       {"restarting-clocks", no_argument, nullptr, 0},
