--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -28,32 +28,30 @@
   return options;
 }
 
-RC_GTEST_PROP(host_model, keeps_its_promises_under_faults, (uint64_t seed)) {
-  host_model model(seed);
+// Fails the property if the run breaks an invariant or leaves a caller without
+// an answer.
+void check_random_run(uint64_t seed, const host_model_options& options = {}) {
+  host_model model(seed, options);
   model.run(8'000, 8'000);
   if (model.violation())
     RC_FAIL(*model.violation());
   RC_ASSERT(model.open_jobs() == 0U);
 }
 
+RC_GTEST_PROP(host_model, keeps_its_promises_under_faults, (uint64_t seed)) {
+  check_random_run(seed);
+}
+
 RC_GTEST_PROP(host_model,
               a_task_that_crashes_upstreams_is_not_started_without_end,
               (uint64_t seed)) {
-  host_model model(seed, {.crashing_jobs = 0.1});
-  model.run(8'000, 8'000);
-  if (model.violation())
-    RC_FAIL(*model.violation());
-  RC_ASSERT(model.open_jobs() == 0U);
+  check_random_run(seed, {.crashing_jobs = 0.1});
 }
 
 RC_GTEST_PROP(host_model,
               a_capacity_that_was_lost_is_not_used,
               (uint64_t seed)) {
-  host_model model(seed, {.changing_capacity = true});
-  model.run(8'000, 8'000);
-  if (model.violation())
-    RC_FAIL(*model.violation());
-  RC_ASSERT(model.open_jobs() == 0U);
+  check_random_run(seed, {.changing_capacity = true});
 }
 
 RC_GTEST_PROP(host_model,
@@ -62,11 +60,7 @@
   host_model_options options = all_faults();
   options.changing_capacity = seed % 3 == 0;
   options.crashing_jobs = seed % 3 == 1 ? 0.1 : 0;
-  host_model model(seed, options);
-  model.run(8'000, 8'000);
-  if (model.violation())
-    RC_FAIL(*model.violation());
-  RC_ASSERT(model.open_jobs() == 0U);
+  check_random_run(seed, options);
 }
 
 // review/2: a stop that an unhealthy upstream refused counted as carried out.
@@ -74,11 +68,7 @@
   host_model_options options = all_faults();
   options.late_orders = 0;
   options.refused_orders = 0.3;
-  host_model model(seed, options);
-  model.run(8'000, 8'000);
-  if (model.violation())
-    RC_FAIL(*model.violation());
-  RC_ASSERT(model.open_jobs() == 0U);
+  check_random_run(seed, options);
 }
 
 // Issue 34: runs that went on beside another one, on days with lost answers and
@@ -90,11 +80,7 @@
   options.late_orders = seed % 2 == 0 ? 0.2 : 0;
   options.refused_orders = 0.2;
   options.lost_replies = 0.3;
-  host_model model(seed, options);
-  model.run(8'000, 8'000);
-  if (model.violation())
-    RC_FAIL(*model.violation());
-  RC_ASSERT(model.open_jobs() == 0U);
+  check_random_run(seed, options);
 }
 
 TEST(host_model, a_lease_of_other_runs_does_not_keep_a_run_of_a_lost_host) {
--- a/cyclamenwood/testing/pool_fixture.h
+++ b/cyclamenwood/testing/pool_fixture.h
@@ -62,6 +62,18 @@
     flush();
   }
 
+  // Returns the upstream u1, on which the only task of submission 1, job j1,
+  // was started and takes long.
+  fake_upstream& add_busy_upstream() {
+    fake_upstream& upstream = add_upstream("u1");
+    upstream.set_run_ms(10'000);
+    own(1);
+    run_until(now + 20);
+    ask(request(1, "j1", 1));
+    run_until(now + 50);
+    return upstream;
+  }
+
   // Simulates an entry host that has received all messages of the owner.
   void say_hello(const std::string& from, uint64_t incarnation) {
     update_peer(state, from, incarnation, now, now, out);
--- a/cyclamenwood/testing/pool_stops_test.cc
+++ b/cyclamenwood/testing/pool_stops_test.cc
@@ -7,18 +7,6 @@
 
 class refused_stops : public pool_fixture {
  protected:
-  // Returns an upstream on which a task of the submission 1 runs.
-  fake_upstream& add_busy_upstream() {
-    fake_upstream& upstream = add_upstream("u1");
-    upstream.set_run_ms(10'000);
-    own(1);
-    run_until(now + 20);
-    ask(request(1, "j1", 1));
-    run_until(now + 50);
-    EXPECT_EQ(upstream.runs().size(), 1U);
-    return upstream;
-  }
-
   void release() {
     release_runs(state, 1, now, now, out);
     flush();
@@ -29,6 +17,7 @@
 // not sent again.
 TEST_F(refused_stops, a_refused_stop_is_sent_again) {
   fake_upstream& upstream = add_busy_upstream();
+  ASSERT_EQ(upstream.runs().size(), 1U);
   refuse_stops = true;
   release();
   run_until(now + 200);
@@ -41,6 +30,7 @@
 // review/2: the lease of the run was extended until it had ended by itself.
 TEST_F(refused_stops, a_refused_stop_does_not_keep_a_run) {
   fake_upstream& upstream = add_busy_upstream();
+  ASSERT_EQ(upstream.runs().size(), 1U);
   refuse_stops = true;
   release();
   run_until(now + state.options.resubmission_ms);
--- a/cyclamenwood/testing/pool_test.cc
+++ b/cyclamenwood/testing/pool_test.cc
@@ -201,12 +201,7 @@
 }
 
 TEST_F(pool_fixture, changes_of_owner_do_not_keep_a_run_that_nobody_wants) {
-  fake_upstream& upstream = add_upstream("u1");
-  upstream.set_run_ms(10'000);
-  own(1);
-  run_until(now + 20);
-  ask(request(1, "j1", 1));
-  run_until(now + 50);
+  fake_upstream& upstream = add_busy_upstream();
   ASSERT_EQ(upstream.runs().size(), 1U);
   unix_ms sent_again_ms = now + state.options.resubmission_ms;
   for (uint64_t token = 2; now < sent_again_ms; ++token) {
@@ -217,12 +212,7 @@
 }
 
 TEST_F(pool_fixture, an_unanswered_stop_does_not_keep_a_run) {
-  fake_upstream& upstream = add_upstream("u1");
-  upstream.set_run_ms(10'000);
-  own(1);
-  run_until(now + 20);
-  ask(request(1, "j1", 1));
-  run_until(now + 50);
+  fake_upstream& upstream = add_busy_upstream();
   ASSERT_EQ(upstream.runs().size(), 1U);
   keep_peers = false;
   drop_stops = true;
@@ -272,12 +262,7 @@
 }
 
 TEST_F(pool_fixture, a_repeated_request_does_not_keep_a_run_that_is_stopped) {
-  fake_upstream& upstream = add_upstream("u1");
-  upstream.set_run_ms(10'000);
-  own(1);
-  run_until(now + 20);
-  ask(request(1, "j1", 1));
-  run_until(now + 50);
+  fake_upstream& upstream = add_busy_upstream();
   ASSERT_EQ(upstream.runs().size(), 1U);
   unix_ms lost_ms = now;
   keep_peers = false;
