A line a second of an entry host's load

A host that lacks processor time, slow upstreams, and too many messages all show as orders without a reply.

Change: each entry host logs `load` once a second: processor time used, the longest delay of its loop, requests, orders by kind, renewals that could not extend a lease as usual, orders without a reply, and messages by kind. The same message counts are on the metrics page.

--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -14,6 +14,7 @@
 
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -21,6 +22,7 @@
 #include "cyclamenwood/host_entry.h"
 #include "cyclamenwood/host_metrics.h"
 #include "cyclamenwood/http_server.h"
+#include "cyclamenwood/load_report.h"
 #include "cyclamenwood/loop.h"
 #include "cyclamenwood/metrics_page.h"
 #include "cyclamenwood/rpc.h"
@@ -37,6 +39,7 @@
             loop_,
             limits(),
             [this](const http_request& request) {
+              load_.count_call();
               handle(host_call{current_time(), Adapter::read_call(request)});
             },
             [this](uint64_t exchange) {
@@ -51,6 +54,7 @@
         upstreams_(
             loop_,
             [this](uint64_t order, order_reply reply) {
+              load_.count_reply(reply);
               metrics_.collector().count(
                   "order_replies_total",
                   fmt::format("outcome=\"{}\"", to_string(reply.outcome)));
@@ -60,6 +64,7 @@
         rpc_({},
              [this](wire::envelope envelope) {
                loop_.post([this, envelope = std::move(envelope)] {
+                 load_.count_received(envelope);
                  handle(host_received{current_time(), envelope});
                });
              }),
@@ -135,6 +140,7 @@
 
   void on_tick() {
     unix_ms now = current_time();
+    report_load(now);
     handle(host_tick{now});
     if (!state_.draining)
       return;
@@ -146,6 +152,15 @@
       loop_.stop();
   }
 
+  // A timer that is due while the loop is busy runs late by that time.
+  void report_load(unix_ms now) {
+    if (last_tick_ms_ != 0)
+      load_.loop_delayed(now - last_tick_ms_ - TICK_INTERVAL_MS);
+    last_tick_ms_ = now;
+    if (std::optional<std::string> line = load_.tick(now, process_cpu_us()))
+      log_line(log_level::info, "load", *line);
+  }
+
   void drain() {
     if (state_.draining)
       return;
@@ -177,7 +192,10 @@
     callers_.respond(effect.exchange, Adapter::write_answer(effect));
   }
 
-  void execute(const run_order& effect) { upstreams_.send(effect); }
+  void execute(const run_order& effect) {
+    load_.count_order(effect);
+    upstreams_.send(effect);
+  }
 
   void execute(const host_send& effect) {
     bool is_reply = effect.envelope.has_run_results() ||
@@ -186,12 +204,14 @@
     // Replies are sent on the stream that the other process opened.
     if (!is_reply)
       rpc_.add_peer(effect.host, effect.host);
+    load_.count_sent(effect.envelope);
     rpc_.send(effect.host, effect.envelope);
   }
 
   // Sets the gauges to their current values.
   void refresh(exposition& seen) {
     write_host_gauges(state_, current_time(), seen);
+    load_.write(seen);
     rpc_counts sent = rpc_.counts();
     seen.set("rpc_sent_messages", "", static_cast<double>(sent.sent_messages));
     seen.set("rpc_sent_bytes", "", static_cast<double>(sent.sent_bytes));
@@ -216,6 +236,8 @@
   settings_watch watch_;
   signal_watcher terminate_;
   signal_watcher interrupt_;
+  load_report load_;
+  unix_ms last_tick_ms_ = 0;
   unix_ms close_at_ms_ = 0;
   unix_ms exit_by_ms_ = 0;
 };
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -57,6 +57,10 @@
 // found.
 constexpr int64_t ADOPTION_WINDOW_MS = 400;
 
+// How long an upstream may delay its reply to a renewal until a run ends. Each
+// lease is renewed more than twice before it expires.
+constexpr int64_t RENEWAL_WAIT_MS = 300;
+
 enum class run_state {
   // Ordered, but not confirmed to run.
   starting,
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -49,8 +49,6 @@
 
 // ---- pool_runs.cc -----------------------------------------------------------
 
-// Each lease is renewed more than twice before it expires.
-constexpr int64_t RENEWAL_WAIT_MS = 300;
 // An unreachable upstream is removed after this time; upstreams announce
 // themselves at least this often.
 constexpr int64_t UPSTREAM_EXPIRY_MS = 20'000;
