One thread polls gRPC, and envelopes that wait are written together

Change: streams use the completion queue, which one thread polls. Envelopes that wait for a write in progress are joined into one message, so that a process that is behind sends fewer of them. Received envelopes are moved into the reducer, and effects out of it, in place of copies.

--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -63,9 +63,9 @@
             }),
         rpc_({},
              [this](wire::envelope envelope) {
-               loop_.post([this, envelope = std::move(envelope)] {
+               loop_.post([this, envelope = std::move(envelope)]() mutable {
                  load_.count_received(envelope);
-                 handle(host_received{current_time(), envelope});
+                 handle(host_received{current_time(), std::move(envelope)});
                });
              }),
         state_(make_host_entry(settings,
@@ -174,8 +174,9 @@
 
   void handle(const host_event& event) {
     host_effects effects = reduce(state_, event);
-    for (const host_effect& effect : effects)
-      std::visit([this](const auto& kind) { this->execute(kind); }, effect);
+    for (host_effect& effect : effects)
+      std::visit([this](auto& kind) { this->execute(std::move(kind)); },
+                 effect);
   }
 
   void execute(const caller_answer& effect) {
@@ -197,7 +198,7 @@
     upstreams_.send(effect);
   }
 
-  void execute(const host_send& effect) {
+  void execute(host_send&& effect) {
     bool is_reply = effect.envelope.has_run_results() ||
                     effect.envelope.has_pool_state() ||
                     effect.envelope.has_run_released();
@@ -205,7 +206,7 @@
     if (!is_reply)
       rpc_.add_peer(effect.host, effect.host);
     load_.count_sent(effect.envelope);
-    rpc_.send(effect.host, effect.envelope);
+    rpc_.send(effect.host, std::move(effect.envelope));
   }
 
   // Sets the gauges to their current values.
@@ -214,6 +215,8 @@
     load_.write(seen);
     rpc_counts sent = rpc_.counts();
     seen.set("rpc_sent_messages", "", static_cast<double>(sent.sent_messages));
+    seen.set("rpc_written_messages", "",
+             static_cast<double>(sent.written_messages));
     seen.set("rpc_sent_bytes", "", static_cast<double>(sent.sent_bytes));
     seen.set("rpc_dropped_messages", "",
              static_cast<double>(sent.dropped_messages));
--- a/cyclamenwood/rpc.h
+++ b/cyclamenwood/rpc.h
@@ -8,7 +8,8 @@
 // breaks. Delivery is best effort, as for datagrams: an envelope that can't be
 // sent is dropped, and the reducers resend what matters. Envelopes to a process
 // that is not a configured peer are sent on the stream that the other process
-// has opened to this node.
+// has opened to this node. Envelopes on one stream arrive in the order in which
+// they were sent.
 #ifndef CYCLAMENWOOD_RPC_H_
 #define CYCLAMENWOOD_RPC_H_
 
@@ -25,14 +26,16 @@
 
 // Totals since the node was created.
 struct rpc_counts {
+  // Envelopes, and the gRPC messages that they were written in.
   uint64_t sent_messages = 0;
+  uint64_t written_messages = 0;
   uint64_t sent_bytes = 0;
   uint64_t dropped_messages = 0;
 };
 
 class rpc_node {
  public:
-  // Called on gRPC's threads, possibly on several at once.
+  // Called on a thread of the node.
   using receiver = std::function<void(wire::envelope)>;
 
   // `peer_addresses` maps hosts to "ip:port".
@@ -42,7 +45,8 @@
   rpc_node& operator=(const rpc_node&) = delete;
   ~rpc_node();
 
-  // Listens on "ip:port". Returns listen_failed with the address on failure.
+  // Listens on "ip:port". Must be called before the first `send`. Returns
+  // listen_failed with the address on failure.
   result<done> listen(const std::string& address);
 
   // Adds a peer after construction; no effect if the host is a peer already.
