gRPC's lock-order check is off in the daemons

Debian's build of Abseil looks for lock-order cycles at each lock of gRPC's mutexes. It guards against faults in gRPC's own code only: ours uses no Abseil mutex. The check is switched off as a process starts. libabsl-dev, which libgrpc-dev brings, is declared.

--- a/cyclamenwood/util/program.cc
+++ b/cyclamenwood/util/program.cc
@@ -1,6 +1,7 @@
 // Error codes are mapped to exit codes in one place for all programs.
 #include "cyclamenwood/util/program.h"
 
+#include <absl/synchronization/mutex.h>
 #include <fmt/format.h>
 
 #include <cstdio>
@@ -31,6 +32,10 @@
   return exit_code_of(failed);
 }
 
+void disable_lock_order_checks() {
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
+}
+
 std::string host_settings_path(const char* given) {
   if (given != nullptr)
     return given;
--- a/cyclamenwood/util/program.h
+++ b/cyclamenwood/util/program.h
@@ -1,5 +1,5 @@
 // Functions shared by the main functions of the programs: exit codes, error
-// reporting and the path of the host's settings.
+// reporting, the set-up of the process, and the path of the host's settings.
 #ifndef CYCLAMENWOOD_UTIL_PROGRAM_H_
 #define CYCLAMENWOOD_UTIL_PROGRAM_H_
 
@@ -28,6 +28,10 @@
 // Prints "program: code: detail" to standard error. Returns the exit code.
 int report_error(std::string_view program, const error& failed);
 
+// Turns off the search for lock-order cycles that Debian's build of Abseil makes
+// at each lock of gRPC's mutexes. Called before any thread is started.
+void disable_lock_order_checks();
+
 // The path of the host's settings: the value `given` on the command line, or
 // that of CYCLAMENWOOD_CONFIG, or "host.json". `given` may be null.
 std::string host_settings_path(const char* given);
--- a/packages.sh
+++ b/packages.sh
@@ -3,7 +3,7 @@
 # are there.
 set -euo pipefail
 packages=(g++ cmake ninja-build make git clang-format clang-tidy pkg-config
-  libev-dev libmicrohttpd-dev libcurl4-openssl-dev libgrpc++-dev
+  libev-dev libmicrohttpd-dev libcurl4-openssl-dev libgrpc++-dev libabsl-dev
   libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
   nlohmann-json3-dev libfmt-dev libboost-dev libssl-dev zlib1g-dev
   libgtest-dev libgmock-dev librapidcheck-dev)
--- a/programs/entryd.cc
+++ b/programs/entryd.cc
@@ -73,6 +73,7 @@
         return EXIT_CODE_USAGE;
     }
   }
+  disable_lock_order_checks();
   std::signal(SIGPIPE, SIG_IGN);
   if (!host_path.empty())
     return run_host(host_path);
--- a/programs/replicad.cc
+++ b/programs/replicad.cc
@@ -107,6 +107,7 @@
         return EXIT_CODE_USAGE;
     }
   }
+  disable_lock_order_checks();
   std::signal(SIGPIPE, SIG_IGN);
   // A write beyond the file size limit then fails with EFBIG instead of
   // terminating the process.
