A late event loop is not taken for an upstream that does not answer

Callers saw orders end as unanswered although the upstream had replied in time: the owner then marks the upstream unreachable, does not extend its lease, sends starts again and stops, and opens new connections, which costs a host that is short of processor time still more of it.

Cause: the reply deadline was libcurl's CURLOPT_TIMEOUT_MS. libcurl checks that limit before it reads from a transfer's socket, and checks the limits of all transfers while it handles the socket of one. After an iteration of the loop that took longer than the deadline, replies that waited in the sockets were therefore dropped with their connections. So were connections that had been established meanwhile.

The deadline is now a timer of the event loop, of the lowest priority. libev polls the sockets before it determines the expired timers, and runs those after the sockets that are ready, so that a reply that is there is read first. An expired timer still runs in the same iteration: a loop that is always late can't put off the deadline. The limit of a connection attempt stays with libcurl, which looks at the socket before it checks this limit.

--- a/cyclamenwood/curl_loop.cc
+++ b/cyclamenwood/curl_loop.cc
@@ -1,8 +1,16 @@
 // libcurl reports through callbacks which sockets to watch and when its next
 // timeout is due. Each socket is mapped to an ev_io watcher, the timeout to
 // one ev_timer.
+//
+// libcurl checks its own time limits before it reads, and may do so for all
+// transfers while it handles the socket of one. The deadlines of transfers are
+// therefore timers of the lowest priority: libev polls the sockets before it
+// determines which timers have expired, and runs these after the sockets that
+// are ready. A timer that has expired always runs in the same iteration, so
+// that sockets can't delay it any further.
 #include "cyclamenwood/curl_loop.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenwood {
@@ -41,9 +49,37 @@
 }
 
 void curl_loop::remove(CURL* easy) {
+  clear_deadline(easy);
   curl_multi_remove_handle(multi_, easy);
 }
 
+void curl_loop::set_deadline(CURL* easy, unix_ms deadline_ms) {
+  auto [found, added] = deadlines_.try_emplace(easy);
+  transfer_deadline& deadline = found->second;
+  if (added) {
+    deadline.owner = this;
+    deadline.easy = easy;
+    ev_timer_init(&deadline.timer, on_deadline, 0, 0);
+    ev_set_priority(&deadline.timer, EV_MINPRI);
+    deadline.timer.data = &deadline;
+  }
+  ev_timer_stop(loop_.raw(), &deadline.timer);
+  // libev adds the interval to the start of the iteration unless it is told to
+  // read the clock.
+  ev_now_update(loop_.raw());
+  auto left_ms = std::max<int64_t>(deadline_ms - current_time(), 0);
+  ev_timer_set(&deadline.timer, static_cast<double>(left_ms) / MS, 0);
+  ev_timer_start(loop_.raw(), &deadline.timer);
+}
+
+void curl_loop::clear_deadline(CURL* easy) {
+  auto found = deadlines_.find(easy);
+  if (found == deadlines_.end())
+    return;
+  ev_timer_stop(loop_.raw(), &found->second.timer);
+  deadlines_.erase(found);
+}
+
 int curl_loop::on_socket(CURL* /*easy*/,
                          curl_socket_t socket,
                          int what,
@@ -94,6 +130,16 @@
   static_cast<curl_loop*>(timer->data)->handle_events(CURL_SOCKET_TIMEOUT, 0);
 }
 
+void curl_loop::on_deadline(struct ev_loop* /*loop*/,
+                            ev_timer* timer,
+                            int /*events*/) {
+  auto* expired = static_cast<transfer_deadline*>(timer->data);
+  curl_loop* owner = expired->owner;
+  CURL* easy = expired->easy;
+  owner->remove(easy);
+  owner->done_(easy, CURLE_OPERATION_TIMEDOUT);
+}
+
 // The handler may add and remove transfers, so each ended transfer is removed
 // before the handler is called.
 void curl_loop::handle_events(curl_socket_t socket, int action) {
@@ -105,7 +151,7 @@
       continue;
     CURL* easy = message->easy_handle;
     CURLcode code = message->data.result;
-    curl_multi_remove_handle(multi_, easy);
+    remove(easy);
     done_(easy, code);
   }
 }
--- a/cyclamenwood/curl_loop.h
+++ b/cyclamenwood/curl_loop.h
@@ -10,8 +10,10 @@
 #include <curl/curl.h>
 
 #include <functional>
+#include <map>
 
 #include "cyclamenwood/loop.h"
+#include "cyclamenwood/types.h"
 
 namespace cyclamenwood {
 
@@ -31,6 +33,10 @@
 
   // Starts a transfer.
   void add(CURL* easy);
+  // Sets or replaces the deadline of an added transfer, which then ends with
+  // CURLE_OPERATION_TIMEDOUT. If the loop runs late, the transfer first reads
+  // what its socket has received; CURLOPT_TIMEOUT_MS does not allow for that.
+  void set_deadline(CURL* easy, unix_ms deadline_ms);
   // Aborts a transfer without calling the handler.
   void remove(CURL* easy);
 
@@ -40,6 +46,12 @@
     curl_loop* owner = nullptr;
   };
 
+  struct transfer_deadline {
+    ev_timer timer{};
+    curl_loop* owner = nullptr;
+    CURL* easy = nullptr;
+  };
+
   static int on_socket(CURL* easy,
                        curl_socket_t socket,
                        int what,
@@ -48,7 +60,9 @@
   static int on_timer_change(CURLM* multi, long timeout_ms, void* self);
   static void on_ready(struct ev_loop* loop, ev_io* io, int events);
   static void on_timer(struct ev_loop* loop, ev_timer* timer, int events);
+  static void on_deadline(struct ev_loop* loop, ev_timer* timer, int events);
 
+  void clear_deadline(CURL* easy);
   // Lets libcurl handle the events of a socket, then reports ended transfers.
   void handle_events(curl_socket_t socket, int action);
 
@@ -56,6 +70,8 @@
   completion_handler done_;
   CURLM* multi_;
   ev_timer timer_{};
+  // Only of transfers that have been added and have not ended.
+  std::map<CURL*, transfer_deadline> deadlines_;
 };
 
 }  // namespace cyclamenwood
