Log lines share the date of their second

Each log line formatted a whole date through fmt::gmtime, made a string for the event to count it, and a string for the line to copy it into the buffer.

The date is now formatted when a new second begins, where the counts of the previous second are reported anyway; a line only formats its milliseconds. The count of an event is found without a new string, and the line is formatted on the stack. The text of a line is unchanged. A second that differs in either direction renews the date, so a clock that was set back is shown as before; a test checks the time of lines across a change of second.

--- a/cyclamenwood/testing/log_test.cc
+++ b/cyclamenwood/testing/log_test.cc
@@ -7,7 +7,13 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <ctime>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "cyclamenwood/exposition.h"
 
@@ -94,6 +100,50 @@
   EXPECT_NE(output.read_available().find("seldom"), std::string::npos);
 }
 
+int64_t unix_now_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+// Returns the time at the beginning of a log line, in Unix milliseconds.
+int64_t time_of(const std::string& line) {
+  std::tm date{};
+  const char* rest = ::strptime(line.c_str(), "%Y-%m-%dT%H:%M:%S", &date);
+  if (rest == nullptr || *rest != '.')
+    return -1;
+  return int64_t{::timegm(&date)} * 1'000 + std::atoi(rest + 1);
+}
+
+struct timed_line {
+  int64_t before_ms = 0;
+  std::string text;
+  int64_t after_ms = 0;
+};
+
+// Logs a line every few milliseconds for more than a second.
+std::vector<timed_line> log_across_a_second() {
+  captured_output output;
+  std::vector<timed_line> lines;
+  int64_t begin_ms = unix_now_ms();
+  while (unix_now_ms() < begin_ms + 1'500) {
+    timed_line& added = lines.emplace_back();
+    added.before_ms = unix_now_ms();
+    log_line(log_level::warning, "timed", "");
+    added.after_ms = unix_now_ms();
+    added.text = output.read_available();
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return lines;
+}
+
+TEST(log, lines_after_a_change_of_second_do_not_show_the_previous_one) {
+  for (const timed_line& line : log_across_a_second()) {
+    EXPECT_GE(time_of(line.text), line.before_ms) << line.text;
+    EXPECT_LE(time_of(line.text), line.after_ms) << line.text;
+  }
+}
+
 TEST(exposition, shows_counters_gauges_and_histograms) {
   exposition seen;
   seen.count("answers_total", R"(outcome="refused")");
--- a/cyclamenwood/util/log.cc
+++ b/cyclamenwood/util/log.cc
@@ -1,6 +1,9 @@
 // A pipe that poll reports as writable accepts at least PIPE_BUF bytes, so a
 // write of at most that size does not block. Each write is preceded by a poll
 // without a timeout.
+//
+// The date is formatted once a second, as that takes most of the time of a
+// line.
 #include "cyclamenwood/util/log.h"
 
 #include <fmt/chrono.h>
@@ -11,6 +14,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <string>
@@ -56,8 +61,7 @@
       return;
     clock::time_point now = clock::now();
     begin_second(now);
-    uint64_t& lines = lines_this_second_[std::string(event)];
-    if (++lines > MAX_LINES_PER_SECOND) {
+    if (++lines_of(event) > MAX_LINES_PER_SECOND) {
       ++counts_.suppressed;
       return;
     }
@@ -86,6 +90,8 @@
     if (second == second_)
       return;
     second_ = second;
+    second_text_ = fmt::format("{:%Y-%m-%dT%H:%M:%S}",
+                               fmt::gmtime(clock::to_time_t(second)));
     for (const auto& [event, lines] : lines_this_second_) {
       if (lines > MAX_LINES_PER_SECOND)
         append(now, log_level::warning, "log_lines_suppressed",
@@ -100,17 +106,23 @@
     unreported_drops_ = 0;
   }
 
+  // The number of lines of the event in this second.
+  uint64_t& lines_of(std::string_view event) {
+    auto found = lines_this_second_.find(event);
+    if (found == lines_this_second_.end())
+      found = lines_this_second_.emplace(event, 0).first;
+    return found->second;
+  }
+
   void append(clock::time_point now,
               log_level level,
               std::string_view event,
               std::string_view details) {
-    auto since = now.time_since_epoch();
-    auto ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(since) % 1000;
-    std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}{}{}\n",
-                                   fmt::gmtime(clock::to_time_t(now)),
-                                   ms.count(), level_name(level), event,
-                                   details.empty() ? "" : " ", details);
+    auto ms = std::chrono::floor<std::chrono::milliseconds>(now - second_);
+    fmt::memory_buffer line;
+    fmt::format_to(std::back_inserter(line), "{}.{:03}Z {} {}{}{}\n",
+                   second_text_, ms.count(), level_name(level), event,
+                   details.empty() ? "" : " ", details);
     if (text_.size() + line.size() > MAX_BUFFERED_BYTES) {
       ++counts_.dropped;
       ++unreported_drops_;
@@ -118,7 +130,7 @@
     }
     ++counts_.lines;
     counts_.bytes += line.size();
-    text_ += line;
+    text_.append(line.data(), line.size());
   }
 
   void write_out() {
@@ -139,8 +151,11 @@
   std::mutex mutex_;
   log_level level_ = log_level::info;
   std::string text_;
+  // The second of the latest line, and its text as in log lines.
   std::chrono::sys_seconds second_;
-  std::map<std::string, uint64_t> lines_this_second_;
+  std::string second_text_;
+  // By event.
+  std::map<std::string, uint64_t, std::less<>> lines_this_second_;
   uint64_t unreported_drops_ = 0;
   log_counts counts_;
 };
