--- a/cyclamenwood/util/program.h
+++ b/cyclamenwood/util/program.h
@@ -28,8 +28,8 @@
 // Prints "program: code: detail" to standard error. Returns the exit code.
 int report_error(std::string_view program, const error& failed);
 
-// Turns off the search for lock-order cycles that Debian's build of Abseil makes
-// at each lock of gRPC's mutexes. Called before any thread is started.
+// Turns off the search for lock-order cycles that Debian's build of Abseil
+// makes at each lock of gRPC's mutexes. Called before any thread is started.
 void disable_lock_order_checks();
 
 // The path of the host's settings: the value `given` on the command line, or
