A zone that was cut off keeps its owners

What callers saw: after the partition of a zone too little of it was served for two seconds.

Cause: a replica compares the silence of an owner with the time since its first hello of any entry host of any zone. A zone that was cut off is silent as a whole, so that its first host to be heard stood for a zone whose other owners had failed.

Change: the comparison is made for each zone, with the time since which one of its hosts has been in contact without a gap; and a host that has missed a hello itself takes nothing over.

Evidence: owner_policy.after_a_partition_of_a_zone_each_keeps_its_shard and owner_policy.at_a_partition_of_a_zone_each_keeps_its_shard, written for it; an owner that does not return is still replaced (an_owner_that_fails_after_a_partition_is_replaced).

--- a/cyclamenwood/owner_policy.cc
+++ b/cyclamenwood/owner_policy.cc
@@ -19,14 +19,23 @@
   return now - host.last_contact_ms <= OWNER_TIMEOUT_MS;
 }
 
+bool can_take_over(const known_entry_host& host, unix_ms now) {
+  return now - host.last_contact_ms <= CANDIDATE_TIMEOUT_MS && !host.draining;
+}
+
 // Whether a failed owner can be distinguished from one that has not reported
-// since the replica started or the power returned.
+// since the replica started, the power returned, or a partition of the zone was
+// over.
 bool can_detect_silent_owners(const entry_host_map& hosts,
+                              const std::string& zone,
                               unix_ms receiving_since_ms,
                               unix_ms now) {
   unix_ms first_ms = now;
-  for (const auto& [name, host] : hosts)
-    first_ms = std::min(first_ms, host.first_contact_ms);
+  for (const auto& [name, host] : hosts) {
+    if (host.zone == zone && is_alive(host, now))
+      first_ms = std::min(
+          first_ms, std::max(host.first_contact_ms, host.in_contact_since_ms));
+  }
   return now - std::max(first_ms, receiving_since_ms) > OWNER_TIMEOUT_MS;
 }
 
@@ -51,7 +60,7 @@
                                 unix_ms now) {
   zone_owners owners;
   for (const auto& [name, host] : hosts) {
-    if (host.zone == zone && is_alive(host, now) && !host.draining)
+    if (host.zone == zone && can_take_over(host, now))
       owners[name] = 0;
   }
   return owners;
@@ -140,6 +149,12 @@
 
 }  // namespace
 
+void record_contact(known_entry_host& host, unix_ms now) {
+  if (now - host.last_contact_ms > OWNER_TIMEOUT_MS)
+    host.in_contact_since_ms = now;
+  host.last_contact_ms = now;
+}
+
 std::vector<wire::owner_grant> choose_owners(
     const control_log& log,
     const entry_host_map& hosts,
@@ -147,8 +162,6 @@
     unix_ms now,
     const owner_policy_options& options) {
   std::vector<wire::owner_grant> grants;
-  bool can_detect_silence =
-      can_detect_silent_owners(hosts, receiving_since_ms, now);
   std::set<std::string> zones;
   for (const auto& [name, host] : hosts)
     zones.insert(host.zone);
@@ -161,6 +174,8 @@
                      now - receiving_since_ms, options);
     if (!shards)
       continue;
+    bool can_detect_silence =
+        can_detect_silent_owners(hosts, zone, receiving_since_ms, now);
     std::vector<uint32_t> vacant;
     for (uint32_t shard = 0; shard < *shards; ++shard) {
       const wire::owner_grant* grant = find_grant(log, zone, shard);
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -30,6 +30,9 @@
 // hellos are then missing. This is shorter than the lease of a run, so that the
 // new owner can still adopt the runs.
 constexpr int64_t OWNER_TIMEOUT_MS = 700;
+// An entry host that was last heard longer ago gets no shard: one hello is
+// missing.
+constexpr int64_t CANDIDATE_TIMEOUT_MS = 400;
 // An entry host must have been known for this long before a shard is moved to
 // it from another one. This is the duration of a lease, so that the runs of its
 // previous incarnation have ended.
@@ -55,6 +58,8 @@
   bool draining = false;
   unix_ms first_contact_ms = 0;
   unix_ms last_contact_ms = 0;
+  // Since when no gap between two hellos was longer than OWNER_TIMEOUT_MS.
+  unix_ms in_contact_since_ms = 0;
   // When the list of the other entry hosts was last sent to it.
   unix_ms hosts_sent_ms = 0;
   // The configuration version that the entry host had as of its last hello, and
@@ -71,6 +76,9 @@
 
 using entry_host_map = std::map<std::string, known_entry_host>;
 
+// Records the arrival of a hello.
+void record_contact(known_entry_host& host, unix_ms now);
+
 // Returns the grants to propose now, without tokens. `receiving_since_ms` is
 // the time since which all hellos have been received.
 std::vector<wire::owner_grant> choose_owners(
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -366,7 +366,7 @@
   }
   host.zone = hello.zone();
   host.draining = hello.draining();
-  host.last_contact_ms = now;
+  record_contact(host, now);
   bool same_incarnation =
       hello.directory() == state.control->directory.incarnation;
   host.have_version = hello.have_version();
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -160,6 +160,62 @@
     EXPECT_EQ(grant.incarnation(), 2U);
 }
 
+// Lets the hosts' hellos of this time arrive, and grants what is proposed.
+void receive_and_grant(control_log& log,
+                       entry_host_map& hosts,
+                       const std::vector<std::string>& from,
+                       unix_ms now) {
+  for (const std::string& name : from)
+    record_contact(hosts.at(name), now);
+  grant_all(log, choose_owners(log, hosts, 0, now));
+}
+
+// Guards against the first entry host of a zone that is heard after a partition
+// getting all shards of the zone.
+TEST(owner_policy, after_a_partition_of_a_zone_each_keeps_its_shard) {
+  entry_host_map hosts = six_hosts(1, 5000);
+  control_log log;
+  grant_all(log, choose_owners(log, hosts, 0, 5000));
+  uint64_t token = log.table.last_token();
+  std::vector<std::string> back;
+  unix_ms now = 9000;
+  for (const char* name : {"e4", "e1", "e6", "e2", "e3", "e5"}) {
+    back.emplace_back(name);
+    now += 100;
+    receive_and_grant(log, hosts, back, now);
+  }
+  for (unix_ms end = now + 2 * OWNER_TIMEOUT_MS; now < end; now += 100)
+    receive_and_grant(log, hosts, back, now);
+  EXPECT_EQ(log.table.last_token(), token);
+}
+
+// Guards against the entry hosts whose last hellos came latest getting the
+// shards of a zone that is being cut off.
+TEST(owner_policy, at_a_partition_of_a_zone_each_keeps_its_shard) {
+  entry_host_map hosts = six_hosts(1, 5000);
+  control_log log;
+  grant_all(log, choose_owners(log, hosts, 0, 5000));
+  uint64_t token = log.table.last_token();
+  unix_ms now = 5000;
+  for (const char* name : {"e4", "e1", "e6", "e2", "e3", "e5"}) {
+    now += 33;
+    record_contact(hosts.at(name), now);
+  }
+  for (unix_ms end = now + 4 * OWNER_TIMEOUT_MS; now < end; now += 20)
+    grant_all(log, choose_owners(log, hosts, 0, now));
+  EXPECT_EQ(log.table.last_token(), token);
+}
+
+TEST(owner_policy, an_owner_that_fails_after_a_partition_is_replaced) {
+  entry_host_map hosts = six_hosts(1, 5000);
+  control_log log;
+  grant_all(log, choose_owners(log, hosts, 0, 5000));
+  for (unix_ms now = 9000; now < 9000 + 2 * OWNER_TIMEOUT_MS; now += 100)
+    receive_and_grant(log, hosts, {"e1", "e2", "e4", "e5", "e6"}, now);
+  EXPECT_FALSE(shards_by_host(log).contains("e3"));
+  EXPECT_EQ(shards_by_host(log).size(), 5U);
+}
+
 TEST(owner_policy, shards_of_lost_hosts_are_shared_out_and_come_back) {
   entry_host_map hosts = six_hosts(1, 5000);
   control_log log;
