Entry host: refuses jobs while its processor is behind

What callers saw: in bursts most jobs were answered 502 or 504 after their whole wait, and little was served, while the upstreams had room.

Cause: the admission knew the capacity of the upstreams, but not that of the entry host's own processor. A host that was behind accepted every job. Events then waited for longer than the objectives, and for longer than PEER_TIMEOUT_MS: owners took hosts that were slow for lost ones, dropped their jobs and left the runs, so that even work that was done was of no use.

A tick that is handled late shows how long events wait. While ticks have been late for 100 ms, the accepted share of the arriving work falls with each late tick, and it rises again with each timely one. The share is granted to the highest priority first. A job that would miss its objective because of the measured wait is refused on arrival. The refusal is logged as call_refused with the reason host_behind; nothing of the job was sent, and the caller gets 503 with a Retry-After. One stall leads to no refusal.

Why it works: the work that is accepted stays at what the processor can handle, whatever a job costs, since the share follows the ticks and no model of the costs. The wait stays short, so that hellos and renewals are in time, and no safety rule had to change.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -441,6 +441,7 @@
 // ---- Events -----------------------------------------------------------------
 
 void on_event(host_entry& state, const host_tick& event, host_outbox& out) {
+  record_tick(state.callers.admission, event.now);
   send_replica_hellos(state, event.now, out);
   send_pool_hellos(state, event.now, out);
   send_peer_hellos(state, event.now, out);
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -15,6 +15,7 @@
 #include <set>
 #include <utility>
 
+#include "cyclamenwood/admission.h"
 #include "cyclamenwood/intake_internal.h"
 #include "cyclamenwood/pool_name.h"
 
@@ -332,6 +333,15 @@
                    to_string(outcome), reason)});
 }
 
+// The number of events that the job leads to: its call, and the start and the
+// end of each task.
+uint32_t count_events(const job_spec& job) {
+  uint32_t events = 1;
+  for (const step_spec& step : job.steps)
+    events += 2 * step.count;
+  return events;
+}
+
 void submit(intake& intake,
             const caller_call& call,
             const call_target& target,
@@ -369,6 +379,18 @@
     refuse(out, call, caller_outcome::refused, "draining");
     return;
   }
+  unix_ms objective_ms =
+      now + target.queue->target_latency_ms +
+      static_cast<int64_t>(target.queue->slack_factor *
+                           static_cast<double>(critical_path_ms(job)));
+  bool admitted = admit(intake.admission,
+                        {target.queue->priority, count_events(job),
+                         critical_path_ms(job), objective_ms},
+                        now);
+  if (!admitted) {
+    refuse(out, call, caller_outcome::refused, "host_behind");
+    return;
+  }
   uint64_t submission = intake.next_submission++;
   intake_job& added = intake.jobs[submission];
   intake.by_id[target.id] = submission;
@@ -379,10 +401,7 @@
   added.arrived_ms = now;
   int64_t wait_ms = call.wait_ms > 0 ? call.wait_ms : target.queue->timeout_ms;
   added.deadline_ms = now + wait_ms;
-  added.objective_ms =
-      now + target.queue->target_latency_ms +
-      static_cast<int64_t>(target.queue->slack_factor *
-                           static_cast<double>(critical_path_ms(job)));
+  added.objective_ms = objective_ms;
   for (const step_spec& step : job.steps)
     added.steps.push_back({std::vector<intake_task>(step.count), step.count});
   step_plan first = plan_step(intake, added, 0, now);
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -24,6 +24,7 @@
 #include <utility>
 #include <vector>
 
+#include "cyclamenwood/admission.h"
 #include "cyclamenwood/error.h"
 #include "cyclamenwood/loss_history.h"
 #include "cyclamenwood/pool_choice.h"
@@ -199,6 +200,8 @@
   // Set when the process drains: by this time all open jobs are answered. Calls
   // whose job may not end before it are refused.
   unix_ms answer_by_ms = INT64_MAX;
+  // Which jobs are accepted while this process is behind.
+  admission_state admission;
   std::optional<route_table> routes;
   // Latest grant of each pool, by the pool's name.
   std::map<std::string, wire::owner_grant> grants;
