The clock of an upstream's former process is not used after a restart

Callers could see a task with two runs at the same time.

Cause: an upstream restarts under its id, and its clock starts anew. The announcement of the new process comes by way of a replica, on another connection than a reply of the former process that is still to be read, for example by an owner that was suspended. The owner forgets the former clock as it reads the announcement, and takes it up again from that reply. As the largest difference of the clocks counts, that of the new process does not correct it for long. Deadlines sent to the new process are then far in its future. It shortens each to the longest lease from the arrival of the order (1 s), whatever the owner asked for: a lease ends later than the owner assumes, also one that was limited since nobody wants the run. The owner then starts a task elsewhere while its run goes on.

Change: the clock is not read from the reply to an order for a former process, unless the reply names the present one. Orders that were sent later can only reach the present process.

Evidence: restarted_upstream.its_leases_do_not_follow_the_former_clock, a_run_is_not_extended_beyond_its_limit and a_task_does_not_start_elsewhere_before_its_lease_ends failed before (the first with a lease of 1,500,969 ms) and pass. The random runs can't find it: their hosts read replies and messages in the order of arrival.

--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -54,6 +54,16 @@
   upstream.clock_read_ms = now;
 }
 
+// Whether the reply may come from the process that the upstream was before it
+// restarted, which had another clock. The announcement of the new process can
+// overtake it. Not every reply names its process.
+bool is_of_former_process(const leased_upstream& upstream,
+                          const run_order& order,
+                          const order_reply& reply) {
+  uint64_t present = upstream.info.incarnation();
+  return order.incarnation < present && reply.incarnation < present;
+}
+
 leased_run* find_run(leased_upstream& upstream, const run_order& order) {
   auto found = upstream.runs.find(order.task);
   bool same =
@@ -428,7 +438,7 @@
     remove_upstream(pool, order.upstream, now, out);
     return;
   }
-  if (reply.clock_ms != 0)
+  if (reply.clock_ms != 0 && !is_of_former_process(upstream, order, reply))
     read_clock(upstream, reply.clock_ms, now);
   if (reply.outcome != order_outcome::unanswered)
     upstream.last_contact_ms = now;
