--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <utility>
 
+#include "cyclamenwood/admission.h"
 #include "cyclamenwood/host_entry.h"
 #include "cyclamenwood/host_metrics.h"
 #include "cyclamenwood/http_server.h"
@@ -71,7 +72,7 @@
         state_(make_host_entry(settings,
                                draw_incarnation(),
                                &Adapter::read_routes)),
-        tick_(loop_, TICK_INTERVAL_MS, [this] { on_tick(); }),
+        tick_(loop_, HOST_TICK_INTERVAL_MS, [this] { on_tick(); }),
         watch_(loop_,
                path,
                [this](const host_settings& changed) {
@@ -105,7 +106,6 @@
   }
 
  private:
-  static constexpr int64_t TICK_INTERVAL_MS = 20;
   // The load balancer checks the readiness each second and removes a host after
   // two failures; new connections may arrive until then.
   static constexpr int64_t BALANCER_NOTICE_MS = 2'500;
@@ -155,7 +155,7 @@
   // A timer that is due while the loop is busy runs late by that time.
   void report_load(unix_ms now) {
     if (last_tick_ms_ != 0)
-      load_.loop_delayed(now - last_tick_ms_ - TICK_INTERVAL_MS);
+      load_.loop_delayed(now - last_tick_ms_ - HOST_TICK_INTERVAL_MS);
     last_tick_ms_ = now;
     if (std::optional<std::string> line = load_.tick(now, process_cpu_us()))
       log_line(log_level::info, "load", *line);
