A failed owner is replaced also by a host that is often late

Found by the review of: an entry host with a gap of more than 700 ms between hellos counted as having returned, again and again, and as long as all hosts of a zone were so late, an owner that had failed was never replaced (in a program of the reviewer: not in 30 s). A return now counts once in 5 s, also over restarts of the host. Fails before: owner_policy.a_failed_owner_is_replaced_by_a_host_that_is_often_late.

The number of shards, which is fixed at the founding, counts all live hosts again, and not only those that have missed no hello (a_host_that_is_late_at_the_founding_counts_for_the_shards).

--- a/cyclamenwood/owner_policy.cc
+++ b/cyclamenwood/owner_policy.cc
@@ -33,8 +33,7 @@
   unix_ms first_ms = now;
   for (const auto& [name, host] : hosts) {
     if (host.zone == zone && is_alive(host, now))
-      first_ms = std::min(
-          first_ms, std::max(host.first_contact_ms, host.in_contact_since_ms));
+      first_ms = std::min(first_ms, host.in_contact_since_ms);
   }
   return now - std::max(first_ms, receiving_since_ms) > OWNER_TIMEOUT_MS;
 }
@@ -89,6 +88,15 @@
   return most;
 }
 
+size_t count_live_hosts(const entry_host_map& hosts,
+                        const std::string& zone,
+                        unix_ms now) {
+  return std::count_if(hosts.begin(), hosts.end(), [&](const auto& item) {
+    const known_entry_host& host = item.second;
+    return host.zone == zone && is_alive(host, now) && !host.draining;
+  });
+}
+
 // Returns nothing if it is too early to choose the zone's first owners.
 std::optional<uint32_t> count_shards(const control_log& log,
                                      const std::string& zone,
@@ -150,7 +158,8 @@
 }  // namespace
 
 void record_contact(known_entry_host& host, unix_ms now) {
-  if (now - host.last_contact_ms > OWNER_TIMEOUT_MS)
+  bool was_silent = now - host.last_contact_ms > OWNER_TIMEOUT_MS;
+  if (was_silent && now - host.in_contact_since_ms > RETURN_EXPIRY_MS)
     host.in_contact_since_ms = now;
   host.last_contact_ms = now;
 }
@@ -169,9 +178,9 @@
     zone_owners owners = find_eligible_hosts(hosts, zone, now);
     if (owners.empty())
       continue;
-    std::optional<uint32_t> shards =
-        count_shards(log, zone, owners.size(), count_upstreams(hosts, zone),
-                     now - receiving_since_ms, options);
+    std::optional<uint32_t> shards = count_shards(
+        log, zone, count_live_hosts(hosts, zone, now),
+        count_upstreams(hosts, zone), now - receiving_since_ms, options);
     if (!shards)
       continue;
     bool can_detect_silence =
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -33,6 +33,8 @@
 // An entry host that was last heard longer ago gets no shard: one hello is
 // missing.
 constexpr int64_t CANDIDATE_TIMEOUT_MS = 400;
+// The time between two returns of an entry host.
+constexpr int64_t RETURN_EXPIRY_MS = 5'000;
 // An entry host must have been known for this long before a shard is moved to
 // it from another one. This is the duration of a lease, so that the runs of its
 // previous incarnation have ended.
@@ -58,7 +60,9 @@
   bool draining = false;
   unix_ms first_contact_ms = 0;
   unix_ms last_contact_ms = 0;
-  // Since when no gap between two hellos was longer than OWNER_TIMEOUT_MS.
+  // When its hellos came again after a gap of more than OWNER_TIMEOUT_MS. Later
+  // gaps do not count until RETURN_EXPIRY_MS after that: a host that is often
+  // late would otherwise keep its zone from replacing an owner that has failed.
   unix_ms in_contact_since_ms = 0;
   // When the list of the other entry hosts was last sent to it.
   unix_ms hosts_sent_ms = 0;
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -17,6 +17,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "cyclamenwood/pool_name.h"
 #include "cyclamenwood/replica_internal.h"
@@ -357,8 +358,10 @@
   auto [found, added] = state.control->entry_hosts.try_emplace(envelope.from());
   known_entry_host& host = found->second;
   if (added || host.incarnation != envelope.incarnation()) {
-    host = {};
+    known_entry_host former = std::exchange(host, {});
     host.incarnation = envelope.incarnation();
+    host.last_contact_ms = former.last_contact_ms;
+    host.in_contact_since_ms = former.in_contact_since_ms;
     host.first_contact_ms = now;
     add_log_event(out, "entry_host_joined", envelope.from(),
                   fmt::format("zone={} incarnation={:016x}", hello.zone(),
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -51,7 +51,7 @@
   host.zone = zone;
   host.incarnation = incarnation;
   host.first_contact_ms = last_contact_ms;
-  host.last_contact_ms = last_contact_ms;
+  record_contact(host, last_contact_ms);
   return host;
 }
 
@@ -216,6 +216,27 @@
   EXPECT_EQ(shards_by_host(log).size(), 5U);
 }
 
+TEST(owner_policy, a_failed_owner_is_replaced_by_a_host_that_is_often_late) {
+  control_log log;
+  entry_host_map hosts{{"e1", make_entry_host("kranj", 1, 1000)},
+                       {"e2", make_entry_host("kranj", 2, 1000)}};
+  apply_grant(log, make_grant("kranj", "e1", 1));
+  unix_ms replaced_ms = 0;
+  for (unix_ms now = 1720; now < 20'000 && replaced_ms == 0; now += 720) {
+    receive_and_grant(log, hosts, {"e2"}, now);
+    if (find_grant(log, "kranj")->host() == "e2")
+      replaced_ms = now;
+  }
+  EXPECT_GT(replaced_ms, 0);
+  EXPECT_LE(replaced_ms, 1000 + 4 * OWNER_TIMEOUT_MS);
+}
+
+TEST(owner_policy, a_host_that_is_late_at_the_founding_counts_for_the_shards) {
+  entry_host_map hosts = six_hosts(1, 5000);
+  hosts["e5"].last_contact_ms = 4550;
+  EXPECT_EQ(choose_owners({}, hosts, 0, 5000).size(), 6U);
+}
+
 TEST(owner_policy, shards_of_lost_hosts_are_shared_out_and_come_back) {
   entry_host_map hosts = six_hosts(1, 5000);
   control_log log;
