--- a/cyclamenwood/rpc.cc
+++ b/cyclamenwood/rpc.cc
@@ -292,9 +292,7 @@
 
   ~server_stream() override {
     std::lock_guard lock(streams_.mutex);
-    auto found = streams_.by_host.find(host_);
-    if (found != streams_.by_host.end() && found->second == this)
-      streams_.by_host.erase(found);
+    unregister();
   }
 
   // Waits for a stream that another process opens.
@@ -317,15 +315,30 @@
   void cancel() override { context_.TryCancel(); }
 
   void received(wire::envelope message) override {
-    if (message.from() != host_) {
-      std::lock_guard lock(streams_.mutex);
-      host_ = message.from();
-      streams_.by_host[host_] = this;
-    }
+    register_sender(message.from());
     deliver(std::move(message), receive_);
   }
 
  private:
+  // The latest stream of a host counts; if it ends, another one does.
+  void register_sender(const std::string& host) {
+    std::lock_guard lock(streams_.mutex);
+    if (host == host_) {
+      streams_.by_host.try_emplace(host, this);
+      return;
+    }
+    unregister();
+    host_ = host;
+    streams_.by_host[host_] = this;
+  }
+
+  // Requires that the mutex of streams_ is held.
+  void unregister() {
+    auto found = streams_.by_host.find(host_);
+    if (found != streams_.by_host.end() && found->second == this)
+      streams_.by_host.erase(found);
+  }
+
   accepted_streams& streams_;
   const rpc_node::receiver& receive_;
   grpc::ServerContext context_;
