A large job does not take the admission of lower priorities for long

Found by the review: the events of a job counted as arriving work whether it was accepted or not, so that one job of 4,001 events shut out all lower priorities for more than a second on a host that was behind. The counted events of a job are bounded; admission_test.a_large_refused_job_does_not_shut_out_lower_priorities.

--- a/cyclamenwood/admission.cc
+++ b/cyclamenwood/admission.cc
@@ -3,9 +3,9 @@
 // is handled. Ticks that are late for longer than that show a load that the
 // processor can't handle.
 //
-// The accepted share falls with each late tick and rises with each one that is
-// in time, each by a constant factor. It therefore settles around the load that
-// the processor can handle, whatever a job costs, and a short overload is
+// While the host is behind, the accepted share falls with each late tick. It
+// rises with each one that is in time. It therefore settles around the load
+// that the processor can handle, whatever a job costs, and a short overload is
 // forgotten within some ticks.
 //
 // The share is that of all arriving work. It is granted to the highest priority
@@ -27,6 +27,9 @@
 constexpr double LATE_TICK_FACTOR = 0.9;
 constexpr double TIMELY_TICK_FACTOR = 1.03;
 constexpr double MIN_ACCEPTED_SHARE = 0.05;
+// A larger job counts as this many events, so that its arrival alone, accepted
+// or not, does not take the share of lower priorities for long.
+constexpr uint32_t MAX_COUNTED_EVENTS = 100;
 // Decay of the counted arrivals with each tick; half-life: 500 ms.
 constexpr double ARRIVALS_FACTOR = 0.973;
 // After its arrival a job waits for the processor twice at least: for the
@@ -82,7 +85,7 @@
 
 bool admit(admission_state& admission, const arriving_job& job, unix_ms now) {
   arriving_work& work = admission.arriving[job.priority];
-  work.events += job.events;
+  work.events += std::min(job.events, MAX_COUNTED_EVENTS);
   int64_t waits_ms = WAITS_PER_JOB * last_delay_ms(admission);
   bool too_late = is_behind(admission, now) &&
                   now + waits_ms + job.path_ms > job.objective_ms;
--- a/cyclamenwood/testing/admission_test.cc
+++ b/cyclamenwood/testing/admission_test.cc
@@ -96,6 +96,20 @@
   EXPECT_FALSE(submit(0, RUN_MS + 200));
 }
 
+TEST_F(admission_test, a_large_refused_job_does_not_shut_out_lower_priorities) {
+  tick(40, 0);
+  state.accepted_share = 0.9;
+  constexpr uint32_t LARGE_JOB_EVENTS = 20'001;
+  admit(state, {0, LARGE_JOB_EVENTS, RUN_MS, now + 10'000}, now);
+  int accepted = 0;
+  for (int i = 0; i < 50; ++i) {
+    now += HOST_TICK_INTERVAL_MS;
+    record_tick(state, now);
+    accepted += submit(1) ? 1 : 0;
+  }
+  EXPECT_GT(accepted, 0);
+}
+
 TEST_F(admission_test, all_jobs_are_accepted_soon_after_the_load_has_fallen) {
   tick(30, 100);
   tick(105, 0);
