Review: a cancellation that reaches another entry host is lost (case 6)

A DELETE whose retry reaches another entry host than the job is answered 410, and the job's tasks go on being started.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of review/6 and later into review/standin-2/build/.
+set -euo pipefail
+cd "$(dirname "$0")/standin-2"
+mkdir -p build
+compiler=${CXX:-g++}
+for source in lab net executors; do
+  "$compiler" -std=c++20 -O1 -g -pthread -c "$source.cc" -o "build/$source.o" &
+done
+wait
+for case in cancelled_elsewhere; do
+  "$compiler" -std=c++20 -O1 -g -pthread "$case.cc" build/lab.o build/net.o \
+    build/executors.o -o "build/$case"
+done
