--- a/review/standin-2/executors.cc
+++ b/review/standin-2/executors.cc
@@ -44,6 +44,7 @@
 struct executor {
   executor_spec spec;
   int listening = -1;
+  bool is_down = false;
   int64_t born_unix_ms = 0;
   int64_t born_ms = 0;
   int64_t lease_until = 0;
@@ -273,6 +274,8 @@
       {
         std::lock_guard lock(mutex);
         for (executor& at : all) {
+          if (at.is_down)
+            continue;
           watched.push_back({at.listening, POLLIN, 0});
           listeners.push_back(&at);
         }
@@ -284,17 +287,19 @@
       ::poll(watched.data(), watched.size(), POLL_MS);
       std::lock_guard lock(mutex);
       for (size_t i = 0; i < listeners.size(); ++i) {
-        if (watched[i].revents != 0)
+        if (watched[i].revents != 0 && !listeners[i]->is_down)
           accept_from(*listeners[i]);
       }
       for (size_t i = 0; i < sources.size(); ++i) {
-        if (watched[listeners.size() + i].revents != 0)
+        if (watched[listeners.size() + i].revents != 0 && !sources[i]->closed)
           read(*sources[i]);
       }
       for (executor& at : all)
         advance(at);
-      for (connection& from : connections)
-        serve_connection(from);
+      for (connection& from : connections) {
+        if (!from.closed)
+          serve_connection(from);
+      }
       connections.remove_if([](const connection& from) {
         if (from.closed)
           ::close(from.socket);
@@ -303,13 +308,33 @@
     }
   }
 
+  executor& find(const std::string& id) {
+    return *std::find_if(all.begin(), all.end(), [&id](const executor& at) {
+      return at.spec.id == id;
+    });
+  }
+
   void announce(const executor_spec& spec,
-                int64_t born_unix_ms,
-                int64_t born_ms,
                 const std::vector<std::string>& replicas) {
     size_t next = 0;
     int64_t sequence = 0;
+    int64_t former_born_ms = -1;
     while (!stopping) {
+      int64_t born_unix_ms = 0;
+      int64_t born_ms = 0;
+      {
+        std::lock_guard lock(mutex);
+        executor& at = find(spec.id);
+        born_unix_ms = at.is_down ? 0 : at.born_unix_ms;
+        born_ms = at.born_ms;
+      }
+      if (born_unix_ms == 0) {
+        sleep_ms(20);
+        continue;
+      }
+      if (born_ms != former_born_ms)
+        sequence = 0;
+      former_born_ms = born_ms;
       json beat{{"service", spec.service},
                 {"address", spec.address},
                 {"zone", spec.zone},
@@ -329,8 +354,12 @@
       if (heard.status / 100 != 2)
         ++next;
       int64_t wait_ms = heard.status / 100 == 2 ? BEAT_INTERVAL_MS : 100;
-      for (int64_t i = 0; i < wait_ms / 50 && !stopping; ++i)
+      for (int64_t i = 0; i < wait_ms / 50 && !stopping; ++i) {
         sleep_ms(50);
+        std::lock_guard lock(mutex);
+        if (find(spec.id).born_ms != born_ms)
+          break;
+      }
     }
   }
 };
@@ -349,32 +378,70 @@
     ::close(at.listening);
 }
 
+namespace {
+
+int64_t unix_now_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
 bool executors::add(const executor_spec& spec,
                     const std::vector<std::string>& replicas) {
   int listening = listen_at(spec.address);
   if (listening < 0)
     return false;
-  auto unix_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                     std::chrono::system_clock::now().time_since_epoch())
-                     .count();
-  int64_t born_ms = now_ms();
   {
     std::lock_guard lock(state_->mutex);
     executor& added = state_->all.emplace_back();
     added.spec = spec;
     added.listening = listening;
-    added.born_unix_ms = unix_ms;
-    added.born_ms = born_ms;
+    added.born_unix_ms = unix_now_ms();
+    added.born_ms = now_ms();
   }
   state* shared = state_.get();
   if (!state_->server.joinable())
     state_->server = std::thread([shared] { shared->serve(); });
-  state_->announcers.emplace_back([shared, spec, unix_ms, born_ms, replicas] {
-    shared->announce(spec, unix_ms, born_ms, replicas);
-  });
+  state_->announcers.emplace_back(
+      [shared, spec, replicas] { shared->announce(spec, replicas); });
   return true;
 }
 
+void executors::crash(const std::string& id) {
+  std::lock_guard lock(state_->mutex);
+  executor& at = state_->find(id);
+  record("executor " + id + " crashes");
+  at.is_down = true;
+  ::close(at.listening);
+  at.listening = -1;
+  while (!at.running.empty())
+    state_->end_run(at, std::string(at.running.begin()->first), "crashed");
+  for (connection& from : state_->connections) {
+    linger reset{1, 0};
+    if (from.owner == &at && !from.closed)
+      ::setsockopt(from.socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    from.closed = from.closed || from.owner == &at;
+  }
+  at.ended.clear();
+  at.finished_attempts.clear();
+  at.last_end = 0;
+  at.fence = 0;
+  at.lease_until = 0;
+}
+
+bool executors::restart(const std::string& id) {
+  std::lock_guard lock(state_->mutex);
+  executor& at = state_->find(id);
+  at.listening = listen_at(at.spec.address);
+  at.born_unix_ms = unix_now_ms();
+  at.born_ms = now_ms();
+  at.is_down = false;
+  record("executor " + id + " started again");
+  return at.listening >= 0;
+}
+
 std::vector<run_record> executors::runs() const {
   std::lock_guard lock(state_->mutex);
   return state_->records;
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -57,6 +57,16 @@
                  const std::string& body,
                  int64_t limit_ms);
 
+// As `call`, but the client ends its side of the connection after
+// `leave_after_ms` and reads what still arrives, until the stream ends or
+// `limit_ms` are over.
+http_result call_and_leave(const std::string& address,
+                           const std::string& path,
+                           const std::string& host,
+                           const std::string& body,
+                           int64_t leave_after_ms,
+                           int64_t limit_ms);
+
 // A start of a task on an executor.
 struct run_record {
   std::string task;
@@ -90,6 +100,10 @@
   // Starts to listen and to announce itself to these replicas, in turn.
   bool add(const executor_spec& spec, const std::vector<std::string>& replicas);
   std::vector<run_record> runs() const;
+  // Ends an executor without a word: all connections are reset and its runs are
+  // gone. `restart` starts it again under its id, with another clock.
+  void crash(const std::string& id);
+  bool restart(const std::string& id);
 
  private:
   struct state;
--- a/review/standin-2/net.cc
+++ b/review/standin-2/net.cc
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr int BACKLOG = 256;
+// Of the status in "HTTP/1.1 200 OK".
+constexpr size_t STATUS_OFFSET = 9;
 
 sockaddr_in parse_address(const std::string& address) {
   size_t colon = address.find(':');
@@ -121,44 +123,88 @@
   return message;
 }
 
-http_result call(const std::string& address,
-                 const std::string& method,
-                 const std::string& path,
-                 const std::string& host,
-                 const std::string& body,
-                 int64_t limit_ms) {
-  int64_t end_ms = now_ms() + limit_ms;
-  http_result result;
-  int connected = connect_to(address, limit_ms);
-  if (connected < 0)
-    return result;
-  std::string request = method + " " + path + " HTTP/1.1\r\nHost: " + host +
-                        "\r\nContent-Type: application/json\r\nDeadline-Ms: " +
-                        std::to_string(limit_ms) +
-                        "\r\nContent-Length: " + std::to_string(body.size()) +
-                        "\r\n\r\n" + body;
-  send_all(connected, request, limit_ms);
-  std::string buffer;
+namespace {
+
+std::string make_request(const std::string& method,
+                         const std::string& path,
+                         const std::string& host,
+                         const std::string& body,
+                         int64_t limit_ms) {
+  return method + " " + path + " HTTP/1.1\r\nHost: " + host +
+         "\r\nContent-Type: application/json\r\nDeadline-Ms: " +
+         std::to_string(limit_ms) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+// Reads one answer. Returns nothing if there is none by `end_ms`, or if the
+// stream ends before.
+std::optional<http_result> read_answer(int connected,
+                                       std::string& buffer,
+                                       int64_t end_ms) {
   while (now_ms() < end_ms) {
     if (!wait_for(connected, POLLIN, end_ms - now_ms()))
-      break;
+      return std::nullopt;
     char bytes[16384];
     ssize_t got = ::recv(connected, bytes, sizeof bytes, MSG_DONTWAIT);
     if (got <= 0)
-      break;
+      return std::nullopt;
     buffer.append(bytes, static_cast<size_t>(got));
     std::optional<http_message> answer = take_message(buffer);
     if (!answer)
       continue;
-    std::from_chars(answer->first_line.data() + 9,
+    http_result result;
+    std::from_chars(answer->first_line.data() + STATUS_OFFSET,
                     answer->first_line.data() + answer->first_line.size(),
                     result.status);
     result.body = answer->body;
     result.location = answer->headers["location"];
-    break;
+    return result;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+http_result call(const std::string& address,
+                 const std::string& method,
+                 const std::string& path,
+                 const std::string& host,
+                 const std::string& body,
+                 int64_t limit_ms) {
+  int64_t end_ms = now_ms() + limit_ms;
+  int connected = connect_to(address, limit_ms);
+  if (connected < 0)
+    return {};
+  send_all(connected, make_request(method, path, host, body, limit_ms),
+           limit_ms);
+  std::string buffer;
+  std::optional<http_result> answer = read_answer(connected, buffer, end_ms);
+  ::close(connected);
+  return answer.value_or(http_result{});
+}
+
+http_result call_and_leave(const std::string& address,
+                           const std::string& path,
+                           const std::string& host,
+                           const std::string& body,
+                           int64_t leave_after_ms,
+                           int64_t limit_ms) {
+  int64_t begin_ms = now_ms();
+  int connected = connect_to(address, limit_ms);
+  if (connected < 0)
+    return {};
+  send_all(connected, make_request("POST", path, host, body, limit_ms),
+           limit_ms);
+  std::string buffer;
+  std::optional<http_result> answer =
+      read_answer(connected, buffer, begin_ms + leave_after_ms);
+  if (!answer) {
+    ::shutdown(connected, SHUT_WR);
+    answer = read_answer(connected, buffer, begin_ms + limit_ms);
   }
   ::close(connected);
-  return result;
+  return answer.value_or(http_result{});
 }
 
 }  // namespace lab
