Review: jobs are shown as failed though no two executors crashed (case 10)

An order that never reached an executor that had fallen silent counts as a crash by its task once that executor is back; two such orders end the job as failed.

--- a/review/standin-2/executors.cc
+++ b/review/standin-2/executors.cc
@@ -45,6 +45,8 @@
   executor_spec spec;
   int listening = -1;
   bool is_down = false;
+  // Its connections stay open, but nothing is read from them.
+  bool is_dark = false;
   int64_t born_unix_ms = 0;
   int64_t born_ms = 0;
   int64_t lease_until = 0;
@@ -280,6 +282,8 @@
           listeners.push_back(&at);
         }
         for (connection& from : connections) {
+          if (from.owner->is_dark)
+            continue;
           watched.push_back({from.socket, POLLIN, 0});
           sources.push_back(&from);
         }
@@ -297,7 +301,7 @@
       for (executor& at : all)
         advance(at);
       for (connection& from : connections) {
-        if (!from.closed)
+        if (!from.closed && !from.owner->is_dark)
           serve_connection(from);
       }
       connections.remove_if([](const connection& from) {
@@ -314,6 +318,32 @@
     });
   }
 
+  // Ends this life of the executor: it holds and knows nothing any more.
+  void lose_life(executor& at) {
+    at.is_down = true;
+    while (!at.running.empty())
+      end_run(at, std::string(at.running.begin()->first), "crashed");
+    at.ended.clear();
+    at.finished_attempts.clear();
+    at.last_end = 0;
+    at.fence = 0;
+    at.lease_until = 0;
+  }
+
+  // Resets all connections of the executor and stops to listen.
+  void close_sockets(executor& at) {
+    if (at.listening >= 0)
+      ::close(at.listening);
+    at.listening = -1;
+    linger reset{1, 0};
+    for (connection& from : connections) {
+      if (from.owner != &at || from.closed)
+        continue;
+      ::setsockopt(from.socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      from.closed = true;
+    }
+  }
+
   void announce(const executor_spec& spec,
                 const std::vector<std::string>& replicas) {
     size_t next = 0;
@@ -409,35 +439,29 @@
   return true;
 }
 
+void executors::go_dark(const std::string& id) {
+  std::lock_guard lock(state_->mutex);
+  record("executor " + id + " crashes in silence");
+  state_->lose_life(state_->find(id));
+  state_->find(id).is_dark = true;
+}
+
 void executors::crash(const std::string& id) {
   std::lock_guard lock(state_->mutex);
-  executor& at = state_->find(id);
   record("executor " + id + " crashes");
-  at.is_down = true;
-  ::close(at.listening);
-  at.listening = -1;
-  while (!at.running.empty())
-    state_->end_run(at, std::string(at.running.begin()->first), "crashed");
-  for (connection& from : state_->connections) {
-    linger reset{1, 0};
-    if (from.owner == &at && !from.closed)
-      ::setsockopt(from.socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-    from.closed = from.closed || from.owner == &at;
-  }
-  at.ended.clear();
-  at.finished_attempts.clear();
-  at.last_end = 0;
-  at.fence = 0;
-  at.lease_until = 0;
+  state_->lose_life(state_->find(id));
+  state_->close_sockets(state_->find(id));
 }
 
 bool executors::restart(const std::string& id) {
   std::lock_guard lock(state_->mutex);
   executor& at = state_->find(id);
+  state_->close_sockets(at);
   at.listening = listen_at(at.spec.address);
   at.born_unix_ms = unix_now_ms();
   at.born_ms = now_ms();
   at.is_down = false;
+  at.is_dark = false;
   record("executor " + id + " started again");
   return at.listening >= 0;
 }
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -103,6 +103,9 @@
   // Ends an executor without a word: all connections are reset and its runs are
   // gone. `restart` starts it again under its id, with another clock.
   void crash(const std::string& id);
+  // As `crash`, but in silence: nothing of it answers until it is started
+  // again.
+  void go_dark(const std::string& id);
   bool restart(const std::string& id);
 
  private:
