Replica: logs of a drain, of learners and of who is a voter

The log of a replica named neither the learners nor the voters, so that it did not distinguish between - successors that had not caught up, - leadership that was not handed over, and - a voter that stays a member after its planned end.

The leader now logs learner_started, learner_caught_up, voter_added and voter_removed with the time since the replica's last message, each replica logs the hosts of a committed membership, and drain_started says who leads.

--- a/cyclamenwood/raft.h
+++ b/cyclamenwood/raft.h
@@ -93,6 +93,8 @@
   // at a time is sent; afterwards appends are pipelined.
   bool probing = true;
   bool learner = false;
+  // Learners only: a catch-up round has ended in time.
+  bool caught_up = false;
   // Learners only: last index of the log when the current catch-up round began.
   uint64_t round_end = 0;
   int64_t round_started_ms = 0;
@@ -159,7 +161,28 @@
   bool unsynced_writes = false;
 };
 
+enum class membership_step {
+  learner_started,
+  learner_caught_up,
+  voter_added,
+  voter_removed,
+};
+
+// Returns the name used in logs.
+std::string_view to_string(membership_step step);
+
+// What a leader did to the membership. A voter was added or removed by an entry
+// that may not be committed yet.
+struct membership_event {
+  membership_step step = membership_step::learner_started;
+  std::string host;
+  // Time since the replica's last message.
+  int64_t silent_ms = 0;
+};
+
 struct raft_output {
+  // For logs only.
+  std::vector<membership_event> membership_events;
   std::vector<wire::wal_write> writes;
   std::vector<wire::raft_message> messages;
   // Newly committed entries in index order, each exactly once.
--- a/cyclamenwood/raft_members.cc
+++ b/cyclamenwood/raft_members.cc
@@ -27,6 +27,24 @@
       [host](const wire::member& voter) { return voter.host() == host; });
 }
 
+// Time since the replica's last message, or 0 without a progress record.
+int64_t silent_ms(const raft_group& group, uint64_t identity, int64_t now) {
+  auto progress = group.progress.find(identity);
+  return progress == group.progress.end()
+             ? 0
+             : now - progress->second.last_contact_ms;
+}
+
+void record_step(const raft_group& group,
+                 membership_step step,
+                 const std::string& host,
+                 uint64_t identity,
+                 int64_t now,
+                 raft_output& out) {
+  out.membership_events.push_back(
+      {step, host, silent_ms(group, identity, now)});
+}
+
 void propose_members(raft_group& group,
                      wire::membership members,
                      int64_t now,
@@ -60,6 +78,8 @@
   learner.last_contact_ms = now;
   learner.round_end = raft_last_index(group);
   learner.round_started_ms = now;
+  record_step(group, membership_step::learner_started, host, identity, now,
+              out);
   send_append(group, identity, learner, now, out);
 }
 
@@ -184,8 +204,15 @@
     }
     if (!is_caught_up(group, found->second, now))
       continue;
+    if (!found->second.caught_up) {
+      found->second.caught_up = true;
+      record_step(group, membership_step::learner_caught_up, host, identity,
+                  now, out);
+    }
     const wire::member* replaced = voter_to_replace(group, host, identity, now);
     if (replaced != nullptr) {
+      record_step(group, membership_step::voter_removed, replaced->host(),
+                  replaced->identity(), now, out);
       propose_members(group, without(group.members, replaced->identity()), now,
                       out);
       return;
@@ -196,11 +223,26 @@
     wire::member& added = *members.add_voters();
     added.set_host(host);
     added.set_identity(identity);
+    record_step(group, membership_step::voter_added, host, identity, now, out);
     propose_members(group, std::move(members), now, out);
     return;
   }
 }
 
+std::string_view to_string(membership_step step) {
+  switch (step) {
+    case membership_step::learner_started:
+      return "learner_started";
+    case membership_step::learner_caught_up:
+      return "learner_caught_up";
+    case membership_step::voter_added:
+      return "voter_added";
+    case membership_step::voter_removed:
+      return "voter_removed";
+  }
+  return "unknown";
+}
+
 void raft_record_announcement(raft_group& group,
                               std::string_view host,
                               uint64_t identity) {
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -168,12 +168,20 @@
   else if (std::holds_alternative<control_log>(group.machine))
     apply_control_entry(state, group, entry, out);
   else if (command.has_members())
-    add_log_event(out, "membership_committed", group.raft.name,
-                  fmt::format("voters={}", command.members().voters_size()));
+    log_committed_members(group, command.members(), out);
   group.pending.erase(group.pending.begin(),
                       group.pending.upper_bound(entry.index()));
 }
 
+void log_membership_events(const replica_group& group,
+                           const raft_output& result,
+                           outbox& out) {
+  for (const membership_event& event : result.membership_events)
+    add_log_event(
+        out, std::string(to_string(event.step)), group.raft.name,
+        fmt::format("host={} silent_ms={}", event.host, event.silent_ms));
+}
+
 void log_role_change(replica_group& group, outbox& out) {
   if (group.raft.role == group.logged_role)
     return;
@@ -241,6 +249,17 @@
 
 }  // namespace
 
+void log_committed_members(const replica_group& group,
+                           const wire::membership& members,
+                           outbox& out) {
+  std::string hosts;
+  for (const wire::member& voter : members.voters())
+    hosts += (hosts.empty() ? "" : ",") + voter.host();
+  add_log_event(
+      out, "membership_committed", group.raft.name,
+      fmt::format("voters={} hosts={}", members.voters_size(), hosts));
+}
+
 void process_raft_output(replica_state& state,
                          replica_group& group,
                          raft_output result,
@@ -254,6 +273,7 @@
     apply_entry(state, group, entry, out);
   if (!result.committed.empty())
     compact(state, group, result);
+  log_membership_events(group, result, out);
   record_voter_hosts(state, group);
   for (wire::wal_write& write : result.writes)
     out.effects.push_back(replica_persist{std::move(write)});
@@ -561,6 +581,11 @@
 void on_event(replica_state& state, const replica_drain& event, outbox& out) {
   state.draining = true;
   state.drain_until_ms = event.now + HANDOVER_TIMEOUT_MS;
+  for (const auto& [name, group] : state.groups)
+    add_log_event(
+        out, "drain_started", name,
+        fmt::format("leads={} leader={}", group.raft.role == raft_role::leader,
+                    raft_leader_host(group.raft)));
   on_event(state, replica_tick{event.now}, out);
 }
 
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -330,8 +330,7 @@
                   fmt::format("host={} token={}", command.grant().host(),
                               log.table.last_token()));
   } else if (command.has_members()) {
-    add_log_event(out, "membership_committed", group.raft.name,
-                  fmt::format("voters={}", command.members().voters_size()));
+    log_committed_members(group, command.members(), out);
   }
   answer_operators(state, group, entry, out);
 }
--- a/cyclamenwood/replica_internal.h
+++ b/cyclamenwood/replica_internal.h
@@ -41,6 +41,10 @@
                          raft_output result,
                          outbox& out);
 
+void log_committed_members(const replica_group& group,
+                           const wire::membership& members,
+                           outbox& out);
+
 // ---- replica_control.cc -----------------------------------------------------
 
 constexpr std::string_view CONTROL_GROUP = "control";
