A replica that stops gives its place to a learner first

Callers (operators): two replicas were replaced as planned, the second one 1.3 s after the first had ended.

Cause: a replica that ends on SIGTERM handed over leadership only. It stayed a voter until it had been silent for replace_after_ms = 2,500 ms, although a learner had caught up long before. When the second voter ended within that time, one of three voters was left. No membership can be committed then, so the group was lost for good.

Evidence: the log of the leader. Both successors are caught up 20 ms after their start, leadership passes on within 2 ms, and no voter is removed before the second one ends.

Change: a draining replica asks all voters to leave (leave_request) and runs on until the leader replies. The leader adds a learner whose zone has a place, removes the leaving voter once all voters in contact have that membership, and replies when this is committed, or at once when no learner can take the place. A plain restart is not delayed and keeps its vote.

- The learner is added first: the group tolerates the loss of a disk at every moment.
With the removal first, two voters would be left for a moment, and both would be needed. - Adding first needs the vote of a successor that does not know yet that it is a voter.
A replica with a log now votes when a candidate asks it (Ongaro 2014, section 4.2.2).
An empty replacement still doesn't. - A draining replica no longer announces itself, and is no successor. - A voter too many, as a crash during the change leaves it, is removed. - Leadership goes to a voter that stays if there is one.

Tests: two_planned_replacements_leave_a_majority failed before the fix (for 10.0.0.3 and then 10.0.0.1, among others: no leader, nothing shown or acknowledged); a_successor_votes_before_it_knows_that_it_may failed without the vote rule.

--- a/cyclamenwood/raft.cc
+++ b/cyclamenwood/raft.cc
@@ -85,6 +85,15 @@
          now < group.last_leader_contact_ms + group.options.election_timeout_ms;
 }
 
+// Whether this replica votes when it is asked. A candidate asks the members
+// that its own log names, so that a replica with a log may be one without
+// knowing it yet (Ongaro 2014, section 4.2.2). An empty one has never been a
+// member.
+bool may_be_voter(const raft_group& group) {
+  return raft_is_voter(group, group.self.identity()) ||
+         raft_last_index(group) > 0;
+}
+
 void handle_vote_request(raft_group& group,
                          const wire::raft_message& message,
                          int64_t now,
@@ -98,8 +107,8 @@
                                      : message.term() == group.term &&
                                            (group.voted_for == 0 ||
                                             group.voted_for == message.from());
-  bool granted = may_vote && log_is_current(group, request) &&
-                 raft_is_voter(group, group.self.identity());
+  bool granted =
+      may_vote && log_is_current(group, request) && may_be_voter(group);
   if (granted && !request.pre_vote()) {
     if (group.voted_for != message.from()) {
       group.voted_for = message.from();
@@ -339,6 +348,12 @@
           raft_is_voter(group, group.self.identity()))
         start_election(group, true, now, out);
       break;
+    case wire::raft_message::kLeaveRequest:
+      handle_leave_request(group, message, now, out);
+      break;
+    case wire::raft_message::kLeaveReply:
+      group.may_stop = group.may_stop || message.term() >= group.term;
+      break;
     case wire::raft_message::BODY_NOT_SET:
       break;
   }
--- a/cyclamenwood/raft.h
+++ b/cyclamenwood/raft.h
@@ -26,6 +26,14 @@
 // The leader replicates the log to it as a learner. Once it has caught up, the
 // leader commits a membership without the lost identity, and then one that
 // includes the new identity.
+//
+// Stopping a replica. With open membership, a voter that is about to stop asks
+// to leave and runs on until a learner has taken its place or no learner can:
+//
+//   bool may_stop = raft_leave(group, now, out);   // with each tick
+//
+// The learner becomes a voter before the leaving one is removed, so that the
+// group tolerates as many lost disks as before at every moment.
 #ifndef CYCLAMENWOOD_RAFT_H_
 #define CYCLAMENWOOD_RAFT_H_
 
@@ -142,6 +150,13 @@
   // Identities announced by replicas that a group does not count as members,
   // by host. May hold identities that have become voters since.
   std::map<std::string, uint64_t> announced_identities;
+  // Replicas that are about to stop, with the time at which their last leave
+  // request expires. Such a replica is never in `announced_identities`.
+  std::map<uint64_t, int64_t> leaving_until_ms;
+  // When this replica repeats its own leave request, and whether the leader has
+  // replied to it.
+  int64_t leave_request_at_ms = 0;
+  bool may_stop = false;
   // Availability zones by host; hosts of unknown zones are absent.
   std::map<std::string, std::string> zones;
 
@@ -257,11 +272,18 @@
                   std::string data,
                   raft_output& out);
 
-// Starts to hand leadership over: the voter with the longest replicated log is
-// brought up to date and asked to start an election at once. Returns false when
-// this replica does not lead or no other voter is in contact.
+// Starts to hand leadership over: the voter with the longest replicated log,
+// and one that is not leaving itself if there is one, is brought up to date and
+// asked to start an election at once. Returns false when this replica does not
+// lead or no other voter is in contact.
 bool raft_hand_over(raft_group& group, int64_t now, raft_output& out);
 
+// Asks the group to let a learner take this replica's place before the process
+// stops. To be called with each tick until it returns true: the leader has
+// committed a membership without this replica, or no learner can take its
+// place. A leader hands leadership over first; until then the result is false.
+bool raft_leave(raft_group& group, int64_t now, raft_output& out);
+
 uint64_t raft_last_index(const raft_group& group);
 // The size of the log's entries from `first` to `last`; both are in the log.
 uint64_t raft_log_bytes(const raft_group& group, uint64_t first, uint64_t last);
--- a/cyclamenwood/raft_internal.h
+++ b/cyclamenwood/raft_internal.h
@@ -53,6 +53,27 @@
 // ---- raft_members.cc --------------------------------------------------------
 
 void advance_membership(raft_group& group, int64_t now, raft_output& out);
+// Whether this replica leads and the membership in force is committed.
+bool can_change_members(const raft_group& group);
+// Whether there is a voter too many, which the leader will remove.
+bool has_surplus(const raft_group& group);
+// Whether a replica on `host` may take the place of the voter `replaced`
+// without exceeding the limit of voters in one zone.
+bool zone_has_place(const raft_group& group,
+                    const std::string& host,
+                    uint64_t replaced);
+// Whether the replica has sent a message within the election timeout, or has no
+// progress record yet. For leaders.
+bool is_in_contact(const raft_group& group, uint64_t identity, int64_t now);
+
+// ---- raft_leave.cc ----------------------------------------------------------
+
+// Whether the replica has sent a leave request recently.
+bool is_leaving(const raft_group& group, uint64_t identity, int64_t now);
+void handle_leave_request(raft_group& group,
+                          const wire::raft_message& message,
+                          int64_t now,
+                          raft_output& out);
 
 // ---- raft.cc ----------------------------------------------------------------
 
--- a/cyclamenwood/raft_leader.cc
+++ b/cyclamenwood/raft_leader.cc
@@ -272,15 +272,17 @@
   if (group.role != raft_role::leader)
     return false;
   uint64_t best = 0;
-  uint64_t best_match = 0;
+  std::pair<bool, uint64_t> best_rank;
   for (const auto& [identity, progress] : group.progress) {
     bool recent = now - progress.last_contact_ms <=
                   2 * group.options.heartbeat_interval_ms;
     if (identity == group.self.identity() || progress.learner || !recent)
       continue;
-    if (best == 0 || progress.match > best_match) {
+    std::pair<bool, uint64_t> rank(!is_leaving(group, identity, now),
+                                   progress.match);
+    if (best == 0 || rank > best_rank) {
       best = identity;
-      best_match = progress.match;
+      best_rank = rank;
     }
   }
   if (best == 0)
--- a/cyclamenwood/raft_members.cc
+++ b/cyclamenwood/raft_members.cc
@@ -1,9 +1,15 @@
 // Replaces a replica whose data folder or host was lost: the new identity
 // catches up as a learner, the lost identity is removed from the membership,
 // and the new one is added.
+//
+// A voter that is about to stop (raft_leave.cc) is replaced while it still
+// runs: the learner is added first, and the leaving voter is removed when all
+// voters in contact have that membership. A vote of each of them can then be
+// counted on.
 #include "cyclamenwood/raft_internal.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace cyclamenwood {
@@ -123,6 +129,25 @@
   return std::max((group.options.target_voters - 1) / 2, 1);
 }
 
+// The number of voters that the group keeps while none is being replaced.
+int max_voters(const raft_group& group) {
+  return std::max(group.options.target_voters,
+                  group.initial_members.voters_size());
+}
+
+// Returns a voter that is about to stop and that a replica on `host` can
+// replace, or null.
+const wire::member* find_leaving_voter(const raft_group& group,
+                                       const std::string& host,
+                                       int64_t now) {
+  for (const wire::member& voter : group.members.voters()) {
+    if (is_leaving(group, voter.identity(), now) &&
+        zone_has_place(group, host, voter.identity()))
+      return &voter;
+  }
+  return nullptr;
+}
+
 // Returns a voter that has been out of contact long enough for a replica on
 // `host` to replace it, or null. If the zone of `host` already has its share of
 // voters, the longer `replace_in_any_zone_after_ms` applies, so that a replica
@@ -138,11 +163,9 @@
         progress == group.progress.end())
       continue;
     int64_t since_contact_ms = now - progress->second.last_contact_ms;
-    bool zone_is_full = voters_in_zone_of(group, host, voter.identity()) >=
-                        max_voters_per_zone(group);
-    int64_t allowed_ms = zone_is_full
-                             ? group.options.replace_in_any_zone_after_ms
-                             : group.options.replace_after_ms;
+    int64_t allowed_ms = zone_has_place(group, host, voter.identity())
+                             ? group.options.replace_after_ms
+                             : group.options.replace_in_any_zone_after_ms;
     if (since_contact_ms > allowed_ms)
       return &voter;
   }
@@ -156,7 +179,15 @@
       voters < group.initial_members.voters_size())
     return true;
   return voters < group.options.target_voters && group.zones.contains(host) &&
-         voters_in_zone_of(group, host, 0) < max_voters_per_zone(group);
+         zone_has_place(group, host, 0);
+}
+
+// Whether a learner on `host` may become a voter now: there is a place, or a
+// voter is about to leave one.
+bool has_place(const raft_group& group, const std::string& host, int64_t now) {
+  return can_add_voter(group, host) ||
+         (group.options.open_membership &&
+          find_leaving_voter(group, host, now) != nullptr);
 }
 
 // Returns the voter that the new replica replaces: the previous replica of its
@@ -168,7 +199,7 @@
                                      uint64_t new_identity,
                                      int64_t now) {
   const wire::member* previous = member_on_host(group, host, new_identity);
-  if (previous != nullptr || can_add_voter(group, host))
+  if (previous != nullptr || has_place(group, host, now))
     return previous;
   return find_unresponsive_voter(group, host, now);
 }
@@ -182,17 +213,77 @@
   return remaining;
 }
 
+void propose_removal(raft_group& group,
+                     const wire::member& voter,
+                     int64_t now,
+                     raft_output& out) {
+  record_step(group, membership_step::voter_removed, voter.host(),
+              voter.identity(), now, out);
+  propose_members(group, without(group.members, voter.identity()), now, out);
+}
+
+// Whether all voters that are in contact have the membership in force.
+bool members_are_replicated(const raft_group& group, int64_t now) {
+  return std::all_of(
+      group.progress.begin(), group.progress.end(), [&](const auto& item) {
+        const auto& [identity, progress] = item;
+        return identity == group.self.identity() || progress.learner ||
+               !is_in_contact(group, identity, now) ||
+               progress.match >= group.members_index;
+      });
+}
+
+// The voter to remove when there is one too many: one that is about to stop,
+// otherwise one that is out of contact, otherwise one of the zone with the most
+// voters. Never this replica.
+const wire::member* surplus_voter(const raft_group& group, int64_t now) {
+  auto rank = [&](const wire::member& voter) {
+    return std::tuple(voter.identity() != group.self.identity(),
+                      is_leaving(group, voter.identity(), now),
+                      !is_in_contact(group, voter.identity(), now),
+                      voters_in_zone_of(group, voter.host(), 0));
+  };
+  return &*std::max_element(group.members.voters().begin(),
+                            group.members.voters().end(),
+                            [&](const wire::member& a, const wire::member& b) {
+                              return rank(a) < rank(b);
+                            });
+}
+
 }  // namespace
 
+bool is_in_contact(const raft_group& group, uint64_t identity, int64_t now) {
+  return silent_ms(group, identity, now) <= group.options.election_timeout_ms;
+}
+
+bool zone_has_place(const raft_group& group,
+                    const std::string& host,
+                    uint64_t replaced) {
+  return voters_in_zone_of(group, host, replaced) < max_voters_per_zone(group);
+}
+
+bool can_change_members(const raft_group& group) {
+  return raft_leader_ready(group) && group.members_index <= group.commit_index;
+}
+
+bool has_surplus(const raft_group& group) {
+  return group.options.open_membership &&
+         group.members.voters_size() > max_voters(group);
+}
+
 // Starts learners and proposes at most one membership change at a time. The
 // lost identity is removed before the new one is added. While the lost identity
 // counts, the group needs all the other voters anyway; adding first could
 // require the vote of a replica that does not know yet that it is a voter.
 void advance_membership(raft_group& group, int64_t now, raft_output& out) {
   drop_stale_learners(group);
-  bool change_pending = group.members_index > group.commit_index;
-  if (change_pending || !raft_leader_ready(group))
+  if (!can_change_members(group) || group.handover_target != 0)
+    return;
+  if (has_surplus(group)) {
+    if (members_are_replicated(group, now))
+      propose_removal(group, *surplus_voter(group, now), now, out);
     return;
+  }
   for (const auto& [host, identity] : group.announced_identities) {
     if (raft_is_voter(group, identity))
       continue;
@@ -211,13 +302,10 @@
     }
     const wire::member* replaced = voter_to_replace(group, host, identity, now);
     if (replaced != nullptr) {
-      record_step(group, membership_step::voter_removed, replaced->host(),
-                  replaced->identity(), now, out);
-      propose_members(group, without(group.members, replaced->identity()), now,
-                      out);
+      propose_removal(group, *replaced, now, out);
       return;
     }
-    if (!can_add_voter(group, host))
+    if (!has_place(group, host, now))
       continue;
     wire::membership members = group.members;
     wire::member& added = *members.add_voters();
@@ -247,6 +335,7 @@
                               std::string_view host,
                               uint64_t identity) {
   group.announced_identities[std::string(host)] = identity;
+  group.leaving_until_ms.erase(identity);
 }
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -21,6 +21,7 @@
 // been in contact with a leader for this long may have been removed.
 constexpr int64_t LEADER_CONTACT_TIMEOUT_MS = 2000;
 constexpr int64_t CONFIG_READER_TIMEOUT_MS = 10'000;
+// Allows for an election and two changes of the membership.
 constexpr int64_t HANDOVER_TIMEOUT_MS = 3000;
 constexpr int64_t HANDOVER_LINGER_MS = 300;
 
@@ -176,10 +177,11 @@
 void log_membership_events(const replica_group& group,
                            const raft_output& result,
                            outbox& out) {
-  for (const membership_event& event : result.membership_events)
+  for (const membership_event& event : result.membership_events) {
     add_log_event(
         out, std::string(to_string(event.step)), group.raft.name,
         fmt::format("host={} silent_ms={}", event.host, event.silent_ms));
+  }
 }
 
 void log_role_change(replica_group& group, outbox& out) {
@@ -477,9 +479,9 @@
 }
 
 // Announces this replica to its peers while it is not a member of all its
-// groups.
+// groups. A replica that is about to stop must not become one.
 void send_hellos(replica_state& state, unix_ms now, outbox& out) {
-  if (now < state.hello_at_ms)
+  if (now < state.hello_at_ms || state.draining)
     return;
   state.hello_at_ms = now + HELLO_INTERVAL_MS;
   bool member = true;
@@ -494,7 +496,11 @@
   }
 }
 
-void check_drained(replica_state& state, unix_ms now, outbox& out) {
+// `has_left`: all groups can do without this replica.
+void check_drained(const replica_state& state,
+                   bool has_left,
+                   unix_ms now,
+                   outbox& out) {
   if (!state.draining)
     return;
   bool leads = false;
@@ -504,11 +510,17 @@
   // still answer a new leader.
   bool early =
       now < state.drain_until_ms - HANDOVER_TIMEOUT_MS + HANDOVER_LINGER_MS;
-  if ((!leads && !early) || now >= state.drain_until_ms)
-    out.effects.push_back(replica_drained{});
+  bool complete = has_left && !leads && !early;
+  if (!complete && now < state.drain_until_ms)
+    return;
+  add_log_event(out, "drain_ended", state.host,
+                fmt::format("complete={} leads={} has_left={}", complete, leads,
+                            has_left));
+  out.effects.push_back(replica_drained{});
 }
 
 void on_event(replica_state& state, const replica_tick& event, outbox& out) {
+  bool has_left = true;
   for (auto& [name, group] : state.groups) {
     raft_output result;
     raft_tick(group.raft, event.now, result);
@@ -517,6 +529,8 @@
                          group.raft.handover_target == 0;
     if (can_hand_over)
       raft_hand_over(group.raft, event.now, result);
+    if (state.draining)
+      has_left = raft_leave(group.raft, event.now, result) && has_left;
     process_raft_output(state, group, std::move(result), out);
   }
   send_hellos(state, event.now, out);
@@ -525,7 +539,7 @@
   });
   if (state.control)
     tick_control(state, event.now, out);
-  check_drained(state, event.now, out);
+  check_drained(state, has_left, event.now, out);
 }
 
 void on_event(replica_state& state,
@@ -581,11 +595,12 @@
 void on_event(replica_state& state, const replica_drain& event, outbox& out) {
   state.draining = true;
   state.drain_until_ms = event.now + HANDOVER_TIMEOUT_MS;
-  for (const auto& [name, group] : state.groups)
+  for (const auto& [name, group] : state.groups) {
     add_log_event(
         out, "drain_started", name,
         fmt::format("leads={} leader={}", group.raft.role == raft_role::leader,
                     raft_leader_host(group.raft)));
+  }
   on_event(state, replica_tick{event.now}, out);
 }
 
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -64,7 +64,8 @@
   int64_t sync_us = 0;
 };
 
-// The process was asked to stop. Leadership is handed over first.
+// The process was asked to stop. Leadership is handed over first, and a learner
+// takes this replica's place if there is one.
 struct replica_drain {
   unix_ms now = 0;
 };
--- a/cyclamenwood/testing/control_fixture.h
+++ b/cyclamenwood/testing/control_fixture.h
@@ -7,9 +7,11 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "cyclamenwood/replica.h"
 
@@ -25,6 +27,10 @@
 
 // Interval of the replicas' ticks.
 constexpr int64_t TICK_MS = 10;
+// Longest time from the request to stop until the end of a process.
+constexpr int64_t STOP_GRACE_MS = 6'000;
+// A new host counts as lost for this time after its start.
+constexpr int64_t CATCH_UP_MS = 4'000;
 
 // Replicas on a network that delivers at once, except to and from the hosts in
 // `cut`.
@@ -43,20 +49,33 @@
            bool initial_voter,
            const std::string& zone,
            int target_voters) {
+    uint64_t identity =
+        initial_voter ? bootstrap_identity(host) : next_identity++;
+    add(host, identity, zone, target_voters, {});
+  }
+
+  // `disk`: what an earlier process of this identity has written.
+  void add(const std::string& host,
+           uint64_t identity,
+           const std::string& zone,
+           int target_voters,
+           std::span<const wire::wal_write> disk) {
     host_settings settings;
     settings.rpc = host;
     settings.zone = zone;
-    settings.seeds = {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"};
+    settings.seeds = seeds;
     raft_options raft;
     raft.election_timeout_ms = 500;
     raft.heartbeat_interval_ms = 100;
     raft.first_election_timeout_ms = 150;
     raft.open_membership = true;
     raft.target_voters = target_voters;
-    uint64_t identity =
-        initial_voter ? bootstrap_identity(host) : 900 + hosts.size();
-    hosts.emplace(host, make_control_replica(settings, {}, raft, identity,
-                                             identity, now));
+    replica_state state =
+        make_control_replica(settings, {}, raft, identity, identity, now);
+    for (const wire::wal_write& write : disk)
+      replay_write(state, write);
+    hosts.insert_or_assign(host, std::move(state));
+    cut.erase(host);
     feed(host, replica_started{now});
   }
 
@@ -73,6 +92,8 @@
           deliver(to, *sent, inbox);
         if (auto* answer = std::get_if<replica_operator_answer>(&effect))
           answers[answer->exchange] = *answer;
+        if (std::holds_alternative<replica_drained>(effect))
+          cut.insert(to);
       }
       if (wrote)
         inbox.emplace_back(to, replica_synced{now, 0});
@@ -100,6 +121,39 @@
     }
   }
 
+  // Asks a replica to stop and runs until it has stopped or the grace period is
+  // over. Returns how long it took.
+  int64_t stop(const std::string& host) {
+    unix_ms begin = now;
+    feed(host, replica_drain{now});
+    while (!cut.contains(host) && now - begin < STOP_GRACE_MS)
+      run_for(TICK_MS);
+    cut.insert(host);
+    return now - begin;
+  }
+
+  std::set<std::string> voters() {
+    std::set<std::string> names;
+    if (!leader().empty()) {
+      for (const wire::member& voter : group(leader()).raft.members.voters())
+        names.insert(voter.host());
+    }
+    return names;
+  }
+
+  // Whether the newest configuration is shown and a newer one acknowledged.
+  bool serves_operators(uint64_t newest) {
+    if (leader().empty())
+      return false;
+    feed(leader(), replica_config_requested{now, 1});
+    run_for(200);
+    feed(leader(),
+         replica_config_submitted{now, 2, make_config(newest + 1, "newer")});
+    run_for(200);
+    return answers[1].outcome == operator_outcome::content &&
+           answers[2].outcome == operator_outcome::accepted;
+  }
+
   std::string leader() {
     for (const auto& [host, state] : hosts) {
       if (!cut.contains(host) && raft_leader_ready(group(host).raft))
@@ -124,6 +178,10 @@
   }
 
   unix_ms now = 1'000'000;
+  // In the settings of replicas that are added.
+  std::vector<std::string> seeds{"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"};
+  // Of a replica that is not an initial voter.
+  uint64_t next_identity = 900;
   std::map<std::string, replica_state> hosts;
   std::map<uint64_t, replica_operator_answer> answers;
   std::map<std::string, wire::control_news> updates;
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -590,6 +590,131 @@
   EXPECT_TRUE(raft_is_voter(group(leader()).raft, bootstrap_identity(away)));
 }
 
+// Guards against a voter that stays a member after its planned end. Two of
+// three voters ended one after the other, each with a successor that had caught
+// up, and the remaining voter was no majority.
+TEST_F(control_fixture, two_planned_replacements_leave_a_majority) {
+  for (const char* first : {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"}) {
+    for (const char* second : {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"}) {
+      if (std::string_view(first) == second)
+        continue;
+      SCOPED_TRACE(fmt::format("{} then {}", first, second));
+      hosts.clear();
+      cut.clear();
+      SetUp();
+      run_for(3000);
+      feed(leader(), replica_config_submitted{now, 1, make_config(4, "four")});
+      add("10.0.0.4:7", false, fmt::format("zone-of-{}", first), 3);
+      add("10.0.0.5:7", false, fmt::format("zone-of-{}", second), 3);
+      run_for(CATCH_UP_MS);
+      EXPECT_LT(stop(first), STOP_GRACE_MS);
+      run_for(1300);
+      EXPECT_LT(stop(second), STOP_GRACE_MS);
+      run_for(3000);
+      EXPECT_TRUE(serves_operators(4));
+      EXPECT_EQ(voters().size(), 3U);
+      EXPECT_FALSE(voters().contains(first) || voters().contains(second));
+    }
+  }
+}
+
+// Guards against a loss of the group through the loss of one disk just after a
+// planned replacement.
+TEST_F(control_fixture, a_disk_lost_after_a_planned_replacement_is_one_loss) {
+  run_for(3000);
+  feed(leader(), replica_config_submitted{now, 1, make_config(4, "four")});
+  add("10.0.0.4:7", false, "zone-of-10.0.0.3:7", 3);
+  run_for(CATCH_UP_MS);
+  EXPECT_LT(stop("10.0.0.3:7"), STOP_GRACE_MS);
+  cut.insert(leader());
+  run_for(3000);
+  EXPECT_TRUE(serves_operators(4));
+}
+
+// A replica that is restarted in its place must not wait for a successor that
+// does not exist, and stays a voter.
+TEST_F(control_fixture, a_voter_without_a_successor_stops_soon_and_stays) {
+  run_for(3000);
+  std::string follower = leader() == "10.0.0.1:7" ? "10.0.0.2:7" : "10.0.0.1:7";
+  EXPECT_LE(stop(follower), 500);
+  EXPECT_TRUE(voters().contains(follower));
+}
+
+// A learner of a zone that has its share of voters must not replace a voter of
+// another zone that is only restarted: the loss of that zone would leave no
+// majority.
+TEST_F(control_fixture, a_learner_of_a_full_zone_is_no_successor) {
+  run_for(3000);
+  std::string follower = leader() == "10.0.0.1:7" ? "10.0.0.2:7" : "10.0.0.1:7";
+  add("10.0.0.4:7", false, "zone-of-10.0.0.3:7", 3);
+  run_for(CATCH_UP_MS);
+  EXPECT_LE(stop(follower), 500);
+  EXPECT_TRUE(voters().contains(follower));
+}
+
+// A learner that is about to stop must not become a voter.
+TEST_F(control_fixture, a_learner_that_stops_is_no_successor) {
+  run_for(3000);
+  add("10.0.0.4:7", false, "zone-of-10.0.0.3:7", 3);
+  run_for(CATCH_UP_MS);
+  feed("10.0.0.4:7", replica_drain{now});
+  run_for(TICK_MS);
+  EXPECT_LT(stop("10.0.0.3:7"), 1000);
+  run_for(1000);
+  ASSERT_FALSE(leader().empty());
+  EXPECT_EQ(group(leader()).raft.members_index, 0U);
+}
+
+// A voter that crashes between the addition of its successor and its own
+// removal must not leave four voters.
+TEST_F(control_fixture, a_voter_that_crashes_while_it_leaves_is_removed) {
+  run_for(3000);
+  std::string leaving = leader() == "10.0.0.1:7" ? "10.0.0.2:7" : "10.0.0.1:7";
+  add("10.0.0.4:7", false, "zone-of-" + leaving, 3);
+  run_for(CATCH_UP_MS);
+  feed(leaving, replica_drain{now});
+  for (int i = 0; i < 50 && voters().size() < 4; ++i)
+    run_for(TICK_MS);
+  ASSERT_EQ(voters().size(), 4U);
+  cut.insert(leaving);
+  run_for(3000);
+  EXPECT_EQ(voters().size(), 3U);
+  EXPECT_FALSE(voters().contains(leaving));
+}
+
+// Guards against a group that needs the vote of a successor that does not know
+// yet that it is a voter: the leader lost its disk before its entry that adds
+// the successor had arrived there.
+TEST_F(control_fixture, a_successor_votes_before_it_knows_that_it_may) {
+  run_for(3000);
+  feed(leader(), replica_config_submitted{now, 1, make_config(4, "four")});
+  std::string leaving = leader() == "10.0.0.1:7" ? "10.0.0.2:7" : "10.0.0.1:7";
+  add("10.0.0.4:7", false, "zone-of-" + leaving, 3);
+  run_for(CATCH_UP_MS);
+  cut.insert("10.0.0.4:7");
+  feed(leaving, replica_drain{now});
+  run_for(2 * TICK_MS);
+  ASSERT_EQ(voters().size(), 4U);
+  cut.insert(leader());
+  cut.erase("10.0.0.4:7");
+  run_for(2500);
+  EXPECT_TRUE(serves_operators(4));
+}
+
+// Two voters that stop at the same moment are replaced in turn.
+TEST_F(control_fixture, two_voters_that_stop_together_are_both_replaced) {
+  run_for(3000);
+  add("10.0.0.4:7", false, "zone-of-10.0.0.1:7", 3);
+  add("10.0.0.5:7", false, "zone-of-10.0.0.2:7", 3);
+  run_for(CATCH_UP_MS);
+  feed("10.0.0.1:7", replica_drain{now});
+  EXPECT_LT(stop("10.0.0.2:7"), STOP_GRACE_MS);
+  EXPECT_LT(stop("10.0.0.1:7"), STOP_GRACE_MS);
+  run_for(1000);
+  EXPECT_EQ(voters(),
+            (std::set<std::string>{"10.0.0.3:7", "10.0.0.4:7", "10.0.0.5:7"}));
+}
+
 TEST_F(control_fixture, upstreams_reach_their_zones_entry_hosts_only) {
   run_for(3000);
   hello("e1", "kranj");
