--- a/cyclamenwood/testing/replacement_test.cc
+++ b/cyclamenwood/testing/replacement_test.cc
@@ -21,12 +21,12 @@
 class replacement_fixture : public control_fixture {
  protected:
   void play(uint64_t seed) {
-    random.seed(seed);
+    random_.seed(seed);
     hosts.clear();
     cut.clear();
-    zones.clear();
-    history.clear();
-    next_number = 1;
+    zones_.clear();
+    history_.clear();
+    next_number_ = 1;
     seeds = {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"};
     for (int i = 1; i <= 3; ++i)
       add_next(fmt::format("zone-{}", i));
@@ -35,32 +35,32 @@
     for (int event = 0; event < EVENTS; ++event)
       perform_event();
     run_for(RECOVERY_MS);
-    EXPECT_TRUE(serves_operators(4)) << history;
-    EXPECT_EQ(voters().size(), 3U) << history;
+    EXPECT_TRUE(serves_operators(4)) << history_;
+    EXPECT_EQ(voters().size(), 3U) << history_;
   }
 
   void SetUp() override {}
 
  private:
   int64_t below(int64_t bound) {
-    return std::uniform_int_distribution<int64_t>(0, bound - 1)(random);
+    return std::uniform_int_distribution<int64_t>(0, bound - 1)(random_);
   }
 
   void add_next(const std::string& zone) {
-    int number = next_number++;
+    int number = next_number_++;
     std::string host = fmt::format("10.0.0.{}:7", number);
     add(host, number <= 3, zone, 3);
-    zones[host] = zone;
+    zones_[host] = zone;
   }
 
   void perform_event() {
-    auto chosen = std::next(zones.begin(), below(std::ssize(zones)));
+    auto chosen = std::next(zones_.begin(), below(std::ssize(zones_)));
     auto [host, zone] = *chosen;
     seeds.clear();
-    for (const auto& [seed, seed_zone] : zones)
+    for (const auto& [seed, seed_zone] : zones_)
       seeds.push_back(seed);
-    history += fmt::format("{} {}{}: ", now, host,
-                           host == leader() ? " (leader)" : "");
+    history_ += fmt::format("{} {}{}: ", now, host,
+                            host == leader() ? " (leader)" : "");
     switch (below(4)) {
       case 0:
         replace_as_planned(host, zone);
@@ -80,26 +80,26 @@
   // The successor starts first. Once it has had its time, the end of the old
   // host is no loss.
   void replace_as_planned(const std::string& host, const std::string& zone) {
-    history += "planned replacement\n";
+    history_ += "planned replacement\n";
     add_next(zone);
     run_for(CATCH_UP_MS + below(1000));
     EXPECT_LT(stop(host), STOP_GRACE_MS);
-    zones.erase(host);
+    zones_.erase(host);
     run_for(below(2000));
   }
 
   void replace_without_notice(const std::string& host,
                               const std::string& zone) {
-    history += "replacement without notice\n";
+    history_ += "replacement without notice\n";
     cut.insert(host);
-    zones.erase(host);
+    zones_.erase(host);
     run_for(below(2000));
     add_next(zone);
     run_for(CATCH_UP_MS);
   }
 
   void lose_disk(const std::string& host, const std::string& zone) {
-    history += "lost disk\n";
+    history_ += "lost disk\n";
     cut.insert(host);
     run_for(below(2000));
     add(host, false, zone, 3);
@@ -107,18 +107,18 @@
   }
 
   void restart(const std::string& host) {
-    history += "restart\n";
+    history_ += "restart\n";
     stop(host);
     run_for(below(2000));
     std::vector<wire::wal_write> disk = dump_writes(hosts.at(host));
-    add(host, hosts.at(host).identity, zones.at(host), 3, disk);
+    add(host, hosts.at(host).identity, zones_.at(host), 3, disk);
     run_for(CATCH_UP_MS);
   }
 
-  std::mt19937_64 random;
-  std::map<std::string, std::string> zones;
-  int next_number = 1;
-  std::string history;
+  std::mt19937_64 random_;
+  std::map<std::string, std::string> zones_;
+  int next_number_ = 1;
+  std::string history_;
 };
 
 // Guards against the loss of the group in a series of losses that it tolerates
