--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -169,6 +169,8 @@
   pool.name = pool_name(grant);
   pool.options.lease_ms = state.settings.run_lease_ms;
   pool.options.resubmission_ms = state.settings.resubmission_ms;
+  pool.options.learn_speeds = state.settings.learn_speeds;
+  pool.options.reserve_for_waiting = state.settings.reserve_for_waiting;
   pool_output done;
   for (const auto& [id, upstream] : state.upstreams) {
     if (shard_of(id, shards_of(grant)) == grant.shard())
--- a/cyclamenwood/host_settings.cc
+++ b/cyclamenwood/host_settings.cc
@@ -30,6 +30,14 @@
   return seeds;
 }
 
+// Reads the keys of an object whose values are the regions of the zones.
+std::vector<std::string> read_zones(json_reader& reader) {
+  std::vector<std::string> zones;
+  for (const auto& [zone, region] : reader.object("zones", false).items())
+    zones.push_back(zone);
+  return zones;
+}
+
 }  // namespace
 
 std::string_view ip_of(std::string_view address) {
@@ -67,6 +75,12 @@
       reader.integer("resubmission_ms", 1, MAX_SPAN_MS, parsed.resubmission_ms);
   parsed.tolerated_hosts =
       reader.integer("tolerated_hosts", 0, 100, parsed.tolerated_hosts);
+  parsed.zones = read_zones(reader);
+  parsed.evacuation_ms =
+      reader.integer("evacuation_ms", 0, MAX_SPAN_MS, parsed.evacuation_ms);
+  parsed.learn_speeds = reader.boolean("learn_speeds", parsed.learn_speeds);
+  parsed.reserve_for_waiting =
+      reader.boolean("reserve_for_waiting", parsed.reserve_for_waiting);
   const nlohmann::json* grace = reader.member("stop_grace_s");
   if (grace != nullptr && grace->is_number() && *grace > 0)
     parsed.stop_grace_ms =
--- a/cyclamenwood/host_settings.h
+++ b/cyclamenwood/host_settings.h
@@ -43,6 +43,15 @@
   int64_t tolerated_hosts = 1;
   // Longest time from the request to stop until the exit of the process.
   int64_t stop_grace_ms = 6000;
+  // Names of the availability zones; empty: not known.
+  std::vector<std::string> zones;
+  // Longest time from the acknowledgement of an evacuation until no task is
+  // started in the zone any more; 0: evacuations are not served.
+  int64_t evacuation_ms = 0;
+  // Pools learn how fast each upstream is, and use it for placement.
+  bool learn_speeds = false;
+  // Pools reserve upstreams for tasks that fit on none at present.
+  bool reserve_for_waiting = false;
 };
 
 // Parses the text of a settings file.
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -234,6 +234,9 @@
   // Callers without an answer submit their job again after this time at the
   // earliest.
   int64_t resubmission_ms = 1300;
+  // See host_settings.
+  bool learn_speeds = false;
+  bool reserve_for_waiting = false;
 };
 
 // Recently requested work, exponentially decayed: processor capacity
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -198,6 +198,20 @@
                     unix_ms now,
                     pool_output& out);
 
+// ---- pool_forecast.cc -------------------------------------------------------
+
+// The time that a task of the request is expected to take on the upstream.
+int64_t expected_run_ms(const pool& pool,
+                        const leased_upstream& upstream,
+                        const wire::run_request& request);
+
+// When the run is expected to end and to release its resources; INT64_MAX if
+// nothing is known of it.
+unix_ms expected_end_ms(const pool& pool,
+                        const leased_upstream& upstream,
+                        const leased_run& run,
+                        unix_ms now);
+
 // ---- pool_refuse.cc ---------------------------------------------------------
 
 // Adds the work of `tasks` new tasks of the request to the load of its service.
