Owners are chosen by the processor capacity of entry hosts

Change: hosts tell their processor capacity in their hellos, and the owners' policy counts shards per capacity; equal hosts get equal numbers as before.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -333,6 +333,7 @@
   wire::pool_state& described = *reply.mutable_pool_state();
   described =
       answer_hello(*requested, envelope.from(), envelope.pool_hello(), now);
+  described.set_behind(is_behind(state.callers.admission, now));
   add_losses_after(state.callers.losses, envelope.pool_hello().have_losses(),
                    now, described);
   send(state, envelope.from(), std::move(reply), out);
@@ -436,6 +437,8 @@
     hello.set_have_change(replica.have_change);
     hello.set_have_token(state.callers.have_token);
     hello.set_upstreams(static_cast<uint32_t>(state.upstreams.size()));
+    hello.set_processor_milli(
+        static_cast<uint32_t>(state.settings.processor_milli));
     send(state, host, std::move(envelope), out);
   }
 }
--- a/cyclamenwood/host_settings.cc
+++ b/cyclamenwood/host_settings.cc
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -15,6 +17,8 @@
 
 constexpr size_t MAX_TEXT_BYTES = 256;
 constexpr int64_t MAX_PORT = 65'535;
+constexpr int64_t MAX_CORES = 1'024;
+constexpr int64_t MILLI = 1'000;
 constexpr int64_t MAX_SPAN_MS = 600'000;
 
 std::vector<std::string> read_seeds(json_reader& reader, int64_t rpc_port) {
@@ -38,6 +42,18 @@
   return zones;
 }
 
+// Reads a positive number, or 0 if it is absent.
+double read_positive(json_reader& reader, std::string_view key) {
+  const nlohmann::json* number = reader.member(key);
+  if (number == nullptr)
+    return 0;
+  if (!number->is_number() || *number <= 0 || *number > MAX_CORES) {
+    reader.fail(key, "must be a positive number");
+    return 0;
+  }
+  return number->get<double>();
+}
+
 }  // namespace
 
 std::string_view ip_of(std::string_view address) {
@@ -75,6 +91,9 @@
       reader.integer("resubmission_ms", 1, MAX_SPAN_MS, parsed.resubmission_ms);
   parsed.tolerated_hosts =
       reader.integer("tolerated_hosts", 0, 100, parsed.tolerated_hosts);
+  parsed.processor_milli =
+      std::lround(MILLI * read_positive(reader, "processor_share") *
+                  std::max(read_positive(reader, "processor_cores"), 1.0));
   parsed.zones = read_zones(reader);
   parsed.evacuation_ms =
       reader.integer("evacuation_ms", 0, MAX_SPAN_MS, parsed.evacuation_ms);
--- a/cyclamenwood/host_settings.h
+++ b/cyclamenwood/host_settings.h
@@ -43,6 +43,8 @@
   int64_t tolerated_hosts = 1;
   // Longest time from the request to stop until the exit of the process.
   int64_t stop_grace_ms = 6000;
+  // Processor capacity of the host, in thousandths of a core; 0: not known.
+  int64_t processor_milli = 0;
   // Names of the availability zones; empty: not known.
   std::vector<std::string> zones;
   // Longest time from the acknowledgement of an evacuation until no task is
--- a/cyclamenwood/owner_policy.cc
+++ b/cyclamenwood/owner_policy.cc
@@ -1,9 +1,15 @@
 // Each zone is processed on its own. First the shards whose owners stay are
 // counted for these owners. Each of the other shards then goes to the entry
-// host with the fewest shards. A restarted owner therefore starts with none and
-// gets its shard back. Among entry hosts with equally many shards, the one that
-// has been known for the longest time is chosen, since those that restarted
-// recently are the most likely to restart again.
+// host that would have the fewest shards for its processor capacity. A
+// restarted owner therefore starts with none and gets its shard back. Among
+// entry hosts that would be equal, the one that has been known for the longest
+// time is chosen, since those that restarted recently are the most likely to
+// restart again.
+//
+// The processor capacity counts since the dispatch of a shard's tasks costs its
+// owner processor time: a small host with as many shards as a large one is late
+// while the large one is idle. A zone in which not every host has told its
+// capacity counts its hosts as equal.
 #include "cyclamenwood/owner_policy.h"
 
 #include <algorithm>
@@ -50,29 +56,53 @@
          (is_alive(owner, now) || !can_detect_silence);
 }
 
-// The entry hosts of a zone that are eligible as owners, with the number of
-// shards that each owns.
-using zone_owners = std::map<std::string, size_t>;
+struct zone_owner {
+  size_t shards = 0;
+  // Processor capacity in thousandths of a core, or 1 if it does not count.
+  uint64_t weight = 1;
+};
+
+// The entry hosts of a zone that are eligible as owners.
+using zone_owners = std::map<std::string, zone_owner>;
 
 zone_owners find_eligible_hosts(const entry_host_map& hosts,
                                 const std::string& zone,
                                 unix_ms now) {
   zone_owners owners;
+  bool all_known = true;
   for (const auto& [name, host] : hosts) {
-    if (host.zone == zone && can_take_over(host, now))
-      owners[name] = 0;
+    if (host.zone != zone || !can_take_over(host, now))
+      continue;
+    owners[name].weight = host.processor_milli;
+    all_known = all_known && host.processor_milli > 0;
   }
+  for (auto& [name, owner] : owners)
+    owner.weight = all_known ? owner.weight : 1;
   return owners;
 }
 
-// Chooses the entry host with the fewest shards; on a tie, the one that has
-// been known for the longest time.
+// Whether `a` with `a_shards` has more shards for its capacity than `b` with
+// `b_shards`.
+bool has_more(const zone_owner& a,
+              size_t a_shards,
+              const zone_owner& b,
+              size_t b_shards) {
+  return a_shards * b.weight > b_shards * a.weight;
+}
+
+// Chooses the entry host that has the fewest shards for its capacity after it
+// got one more; on a tie, the one that has been known for the longest time.
 const std::string& choose_least(const zone_owners& owners,
                                 const entry_host_map& hosts) {
   auto least = std::min_element(
       owners.begin(), owners.end(), [&hosts](const auto& a, const auto& b) {
-        return std::pair(a.second, hosts.at(a.first).first_contact_ms) <
-               std::pair(b.second, hosts.at(b.first).first_contact_ms);
+        size_t a_shards = a.second.shards + 1;
+        size_t b_shards = b.second.shards + 1;
+        if (has_more(b.second, b_shards, a.second, a_shards))
+          return true;
+        return !has_more(a.second, a_shards, b.second, b_shards) &&
+               hosts.at(a.first).first_contact_ms <
+                   hosts.at(b.first).first_contact_ms;
       });
   return least->first;
 }
@@ -128,9 +158,9 @@
   return grant;
 }
 
-// Moves a shard to the entry host with the fewest shards if the present owner
-// has at least two more. An entry host without a shard is eligible once it has
-// been known for MIN_OWNER_AGE_MS.
+// Moves a shard to the entry host with the fewest shards for its capacity if
+// that has fewer than the present owner even afterwards. An entry host without
+// a shard is eligible once it has been known for MIN_OWNER_AGE_MS.
 void add_moves(const control_log& log,
                const std::string& zone,
                uint32_t shards,
@@ -139,7 +169,7 @@
                unix_ms now,
                std::vector<wire::owner_grant>& grants) {
   std::erase_if(owners, [&](const auto& item) {
-    return item.second == 0 &&
+    return item.second.shards == 0 &&
            now - hosts.at(item.first).first_contact_ms < MIN_OWNER_AGE_MS;
   });
   for (uint32_t shard = 0; shard < shards; ++shard) {
@@ -147,11 +177,14 @@
       return;
     const std::string& least = choose_least(owners, hosts);
     auto owner = owners.find(find_grant(log, zone, shard)->host());
-    if (owner == owners.end() || owner->second < owners.at(least) + 2)
+    bool is_better = owner != owners.end() &&
+                     has_more(owner->second, owner->second.shards,
+                              owners.at(least), owners.at(least).shards + 1);
+    if (!is_better)
       continue;
     grants.push_back(make_grant(zone, shard, shards, least, hosts));
-    --owner->second;
-    ++owners[least];
+    --owner->second.shards;
+    ++owners[least].shards;
   }
 }
 
@@ -191,12 +224,12 @@
       if (grant == nullptr || !is_kept(*grant, hosts, can_detect_silence, now))
         vacant.push_back(shard);
       else if (owners.contains(grant->host()))
-        ++owners[grant->host()];
+        ++owners[grant->host()].shards;
     }
     for (uint32_t shard : vacant) {
       const std::string& host = choose_least(owners, hosts);
       grants.push_back(make_grant(zone, shard, *shards, host, hosts));
-      ++owners[host];
+      ++owners[host].shards;
     }
     if (vacant.empty())
       add_moves(log, zone, *shards, std::move(owners), hosts, now, grants);
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -76,6 +76,8 @@
   // of upstreams of its zone.
   uint64_t have_token = 0;
   uint32_t upstreams = 0;
+  // Its processor capacity, in thousandths of a core; 0: not known.
+  uint32_t processor_milli = 0;
 };
 
 using entry_host_map = std::map<std::string, known_entry_host>;
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -375,6 +375,7 @@
   host.sent_change = same_incarnation ? hello.have_change() : 0;
   host.have_token = hello.have_token();
   host.upstreams = hello.upstreams();
+  host.processor_milli = hello.processor_milli();
   send_update(envelope.from(), make_update(state, control_group(state), host),
               out);
   send_entry_host_list(state, envelope.from(), host, now, out);
