Owners that are behind get less work

Cause: an owner whose events wait for the processor gets as many tasks as one that is in time, if both have room; each start and each end then waits. Change: pool states tell that the owner is behind, and within their zone entry hosts prefer the pools of other owners then. No task leaves the zone for that. Tests are written and not run yet.

--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -105,6 +105,7 @@
       continue;
     planned.rooms[name] = room->second;
     planned.rooms[name].distance = distance_to(intake, name);
+    planned.rooms[name].behind = pool.behind;
   }
   const step_spec& step = job.job.steps[index];
   const std::vector<intake_task>& tasks = job.steps[index].tasks;
@@ -548,6 +549,7 @@
   pool.token = state.token();
   pool.last_contact_ms = now;
   pool.clock_ms = state.clock_ms();
+  pool.behind = state.behind();
   pool.results_received = state.results();
   if (state.upstreams_version() != pool.upstreams_version) {
     pool.upstreams_version = state.upstreams_version();
