Control log: evacuations of availability zones

Cause: an operator has to be able to drain a zone, and the order must survive the loss of processes, of a zone and of all power.

Change: the command `evacuation` is applied by the control log's state machine. Every committed command raises the revision of the list. An operator's order always proposes an entry and is acknowledged when that entry is committed; other replicas redirect to the leader. Entry hosts whose last hello reports an older revision get the list at commit and with each answer to a hello, in the same message as the grants. Replicas log evacuation_committed.

--- a/cyclamenwood/control_log.cc
+++ b/cyclamenwood/control_log.cc
@@ -2,6 +2,8 @@
 // is part of the state, and therefore of each snapshot.
 #include "cyclamenwood/control_log.h"
 
+#include <algorithm>
+
 namespace cyclamenwood {
 
 bool apply_config(control_log& log, const wire::roll_out& offered) {
@@ -26,6 +28,17 @@
   record->set_token(token);
 }
 
+void apply_evacuation(control_log& log, const wire::evacuation& order) {
+  wire::evacuation_list& list = *log.table.mutable_evacuations();
+  list.set_revision(list.revision() + 1);
+  auto& zones = *list.mutable_zones();
+  auto found = std::find(zones.begin(), zones.end(), order.zone());
+  if (order.active() && found == zones.end())
+    list.add_zones(order.zone());
+  else if (!order.active() && found != zones.end())
+    zones.erase(found);
+}
+
 const wire::owner_grant* find_grant(const control_log& log,
                                     std::string_view zone,
                                     uint32_t shard) {
--- a/cyclamenwood/control_log.h
+++ b/cyclamenwood/control_log.h
@@ -1,10 +1,12 @@
-// The control log's state machine: the configuration in force and the owner of
-// each shard of upstreams.
+// The control log's state machine: the configuration in force, the owner of
+// each shard of upstreams, and the evacuated availability zones.
 //
 // The configuration with the highest version is in force; a version that is not
 // higher changes nothing. Each grant of ownership gets the next fencing token,
 // so that no token is issued twice, even if a minority of the replicas loses
-// its disks.
+// its disks. Each committed evacuation command raises the revision of the list
+// of evacuated zones, also when it changes nothing, since commands carry no
+// numbers by which a repeated one could be recognized.
 #ifndef CYCLAMENWOOD_CONTROL_LOG_H_
 #define CYCLAMENWOOD_CONTROL_LOG_H_
 
@@ -27,6 +29,10 @@
 // shard's previous grant.
 void apply_grant(control_log& log, const wire::owner_grant& wanted);
 
+// Applies one committed command that begins or finishes the evacuation of a
+// zone, under the next revision of the list.
+void apply_evacuation(control_log& log, const wire::evacuation& order);
+
 // Returns the current grant of a shard, or null.
 const wire::owner_grant* find_grant(const control_log& log,
                                     std::string_view zone,
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -76,6 +76,9 @@
   // of upstreams of its zone.
   uint64_t have_token = 0;
   uint32_t upstreams = 0;
+  // The revision of the list of evacuated zones that it had as of its last
+  // hello.
+  uint64_t have_evacuations = 0;
 };
 
 using entry_host_map = std::map<std::string, known_entry_host>;
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -616,6 +616,12 @@
   handle_config_request(state, event, out);
 }
 
+void on_event(replica_state& state,
+              const replica_evacuation_ordered& event,
+              outbox& out) {
+  handle_evacuation_order(state, event, out);
+}
+
 void on_event(replica_state& state,
               const replica_upstream_announced& event,
               outbox& out) {
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -84,6 +84,14 @@
   uint64_t exchange = 0;
 };
 
+// An operator ordered the begin or the finish of the evacuation of a zone. The
+// zone has been validated.
+struct replica_evacuation_ordered {
+  unix_ms now = 0;
+  uint64_t exchange = 0;
+  wire::evacuation order;
+};
+
 // A leased upstream announced itself.
 struct replica_upstream_announced {
   unix_ms now = 0;
@@ -110,6 +118,7 @@
                                    replica_drain,
                                    replica_config_submitted,
                                    replica_config_requested,
+                                   replica_evacuation_ordered,
                                    replica_upstream_announced,
                                    replica_upstream_leaving,
                                    replica_seeds>;
--- a/cyclamenwood/replica_control.cc
+++ b/cyclamenwood/replica_control.cc
@@ -7,7 +7,9 @@
 // of its own and is answered when that entry is committed: a majority has then
 // confirmed, after the read arrived, that this replica leads. A replica that
 // was suspended or is partitioned therefore cannot return an older
-// configuration.
+// configuration. An order to begin or finish an evacuation always proposes an
+// entry, also when it was given before: the last one that is committed is in
+// force, so a repeated order must come after all that were committed before it.
 //
 // Changes are sent at once to every entry host with a recent hello. Each hello
 // reports what the entry host has, and anything missing is sent again. A
@@ -21,6 +23,7 @@
 
 #include "cyclamenwood/pool_name.h"
 #include "cyclamenwood/replica_internal.h"
+#include "cyclamenwood/util/text.h"
 
 namespace cyclamenwood {
 namespace {
@@ -45,6 +48,7 @@
 // Entry hosts need the list of the other entry hosts only when they cannot
 // reach a replica.
 constexpr int64_t HOST_LIST_INTERVAL_MS = 1'000;
+constexpr size_t MAX_LOGGED_ZONE_BYTES = 64;
 
 void answer(outbox& out,
             uint64_t exchange,
@@ -104,6 +108,30 @@
   return found;
 }
 
+// Returns the exchange of the operator that waits for this entry here, or 0.
+uint64_t find_exchange(const replica_state& state,
+                       const wire::log_entry& entry) {
+  for (const auto& [exchange, waiting] : state.control->waiting) {
+    if (waiting.index == entry.index() && waiting.term == entry.term())
+      return exchange;
+  }
+  return 0;
+}
+
+void apply_evacuation_entry(const replica_state& state,
+                            replica_group& group,
+                            const wire::log_entry& entry,
+                            outbox& out) {
+  auto& log = std::get<control_log>(group.machine);
+  const wire::evacuation& order = entry.command().evacuation();
+  apply_evacuation(log, order);
+  add_log_event(out, "evacuation_committed", group.raft.name,
+                fmt::format("zone={} active={} revision={} exchange={}",
+                            escape_for_log(order.zone(), MAX_LOGGED_ZONE_BYTES),
+                            order.active(), log.table.evacuations().revision(),
+                            find_exchange(state, entry)));
+}
+
 void answer_operators(replica_state& state,
                       const replica_group& group,
                       const wire::log_entry& entry,
@@ -163,6 +191,10 @@
     if (grant.token() > reader.have_token)
       *update.add_grants() = grant;
   }
+  // In the same message as the grants, so that no entry host becomes the owner
+  // of an evacuated zone before it has the list.
+  if (table.evacuations().revision() > reader.have_evacuations)
+    *update.mutable_evacuations() = table.evacuations();
   for (const std::string& replica : known_replicas(state))
     update.add_replicas(replica);
   add_changes(state.control->directory, reader.zone, reader.sent_change,
@@ -329,6 +361,8 @@
     add_log_event(out, "owner_granted", pool_name(command.grant()),
                   fmt::format("host={} token={}", command.grant().host(),
                               log.table.last_token()));
+  } else if (command.has_evacuation()) {
+    apply_evacuation_entry(state, group, entry, out);
   } else if (command.has_members()) {
     log_committed_members(group, command.members(), out);
   }
@@ -341,7 +375,7 @@
   for (auto& [host, reader] : state.control->entry_hosts) {
     wire::control_news update = make_update(state, group, reader);
     bool has_changes = update.has_latest() || update.grants_size() > 0 ||
-                       update.upstreams_size() > 0;
+                       update.upstreams_size() > 0 || update.has_evacuations();
     if (has_changes)
       send_update(host, std::move(update), out);
   }
@@ -375,6 +409,7 @@
   host.sent_change = same_incarnation ? hello.have_change() : 0;
   host.have_token = hello.have_token();
   host.upstreams = hello.upstreams();
+  host.have_evacuations = hello.have_evacuations();
   send_update(envelope.from(), make_update(state, control_group(state), host),
               out);
   send_entry_host_list(state, envelope.from(), host, now, out);
@@ -427,6 +462,16 @@
                            true, out);
 }
 
+void handle_evacuation_order(replica_state& state,
+                             const replica_evacuation_ordered& event,
+                             outbox& out) {
+  wire::command command;
+  command.set_stamp_ms(event.now);
+  *command.mutable_evacuation() = event.order;
+  propose_operator_request(state, std::move(command), event.exchange, event.now,
+                           false, out);
+}
+
 void tick_control(replica_state& state, unix_ms now, outbox& out) {
   control_state& control = *state.control;
   replica_group& group = control_group(state);
--- a/cyclamenwood/replica_internal.h
+++ b/cyclamenwood/replica_internal.h
@@ -77,6 +77,9 @@
 void handle_config_request(replica_state& state,
                            const replica_config_requested& event,
                            outbox& out);
+void handle_evacuation_order(replica_state& state,
+                             const replica_evacuation_ordered& event,
+                             outbox& out);
 void tick_control(replica_state& state, unix_ms now, outbox& out);
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/testing/control_fixture.h
+++ b/cyclamenwood/testing/control_fixture.h
@@ -72,7 +72,7 @@
     raft.open_membership = true;
     raft.target_voters = target_voters;
     replica_state state =
-        make_control_replica(settings, {}, raft, identity, identity, now);
+        make_control_replica(settings, options, raft, identity, identity, now);
     for (const wire::wal_write& write : disk)
       replay_write(state, write);
     hosts.insert_or_assign(host, std::move(state));
@@ -81,7 +81,16 @@
   }
 
   void feed(const std::string& host, const replica_event& event) {
-    std::deque<std::pair<std::string, replica_event>> inbox{{host, event}};
+    feed_together(host, {event});
+  }
+
+  // Feeds events that arrive together: what they write is synced after the last
+  // one.
+  void feed_together(const std::string& host,
+                     const std::vector<replica_event>& events) {
+    std::deque<std::pair<std::string, replica_event>> inbox;
+    for (const replica_event& event : events)
+      inbox.emplace_back(host, event);
     while (!inbox.empty()) {
       auto [to, next] = std::move(inbox.front());
       inbox.pop_front();
@@ -93,6 +102,8 @@
           deliver(to, *sent, inbox);
         if (auto* answer = std::get_if<replica_operator_answer>(&effect))
           answers[answer->exchange] = *answer;
+        if (auto* line = std::get_if<replica_log_event>(&effect))
+          log_events[to].push_back(*line);
         if (std::holds_alternative<replica_drained>(effect))
           cut.insert(to);
       }
@@ -184,11 +195,15 @@
   std::mt19937_64 drops;
   // In the settings of replicas that are added.
   std::vector<std::string> seeds{"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"};
+  // Of replicas that are added.
+  replica_options options;
   // Of a replica that is not an initial voter.
   uint64_t next_identity = 900;
   std::map<std::string, replica_state> hosts;
   std::map<uint64_t, replica_operator_answer> answers;
   std::map<std::string, wire::control_news> updates;
+  // Log lines by host.
+  std::map<std::string, std::vector<replica_log_event>> log_events;
   // Number of updates that contained a configuration.
   int configs_sent = 0;
   std::set<std::string> cut;
