Settings: check the names of zones where evacuations are served

Cause: operators' requests name a zone in their path, which is not decoded, and a zone that is not listed is refused. A zone with another name, or a process in a zone that is not listed, could not be evacuated.

Change: with evacuation_ms above 0, `zones` and `zone` must have names that a path holds as they are, and `zone` must be listed if any zone is. Other deployments are not checked.

--- a/cyclamenwood/host_settings.cc
+++ b/cyclamenwood/host_settings.cc
@@ -5,10 +5,12 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
 #include "cyclamenwood/util/json_reader.h"
+#include "cyclamenwood/util/text.h"
 
 namespace cyclamenwood {
 namespace {
@@ -16,6 +18,9 @@
 constexpr size_t MAX_TEXT_BYTES = 256;
 constexpr int64_t MAX_PORT = 65'535;
 constexpr int64_t MAX_SPAN_MS = 600'000;
+constexpr size_t MAX_SHOWN_BYTES = 64;
+constexpr std::string_view ZONE_NAME_REASON =
+    "must have 1 to 256 letters, digits and any of -._~";
 
 std::vector<std::string> read_seeds(json_reader& reader, int64_t rpc_port) {
   std::vector<std::string> seeds;
@@ -38,8 +43,36 @@
   return zones;
 }
 
+// Operators' requests to evacuate a zone name it in their path, and a zone that
+// is not listed can't be evacuated. Deployments that serve no evacuations have
+// no such restrictions.
+void check_zones(json_reader& reader, const host_settings& parsed) {
+  if (parsed.evacuation_ms == 0)
+    return;
+  for (const std::string& zone : parsed.zones) {
+    if (!is_zone_name(zone))
+      reader.fail(
+          fmt::format("zones.{}", escape_for_log(zone, MAX_SHOWN_BYTES)),
+          ZONE_NAME_REASON);
+  }
+  if (!is_zone_name(parsed.zone))
+    reader.fail("zone", ZONE_NAME_REASON);
+  bool is_listed = parsed.zones.empty() ||
+                   std::find(parsed.zones.begin(), parsed.zones.end(),
+                             parsed.zone) != parsed.zones.end();
+  if (!is_listed)
+    reader.fail("zone", "must be one of zones");
+}
+
 }  // namespace
 
+bool is_zone_name(std::string_view text) {
+  constexpr std::string_view ALLOWED =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+  return !text.empty() && text.size() <= MAX_TEXT_BYTES &&
+         text.find_first_not_of(ALLOWED) == std::string_view::npos;
+}
+
 std::string_view ip_of(std::string_view address) {
   return address.substr(0, address.rfind(':'));
 }
@@ -78,6 +111,7 @@
   parsed.zones = read_zones(reader);
   parsed.evacuation_ms =
       reader.integer("evacuation_ms", 0, MAX_SPAN_MS, parsed.evacuation_ms);
+  check_zones(reader, parsed);
   parsed.learn_speeds = reader.boolean("learn_speeds", parsed.learn_speeds);
   parsed.reserve_for_waiting =
       reader.boolean("reserve_for_waiting", parsed.reserve_for_waiting);
--- a/cyclamenwood/host_settings.h
+++ b/cyclamenwood/host_settings.h
@@ -43,7 +43,9 @@
   int64_t tolerated_hosts = 1;
   // Longest time from the request to stop until the exit of the process.
   int64_t stop_grace_ms = 6000;
-  // Names of the availability zones; empty: not known.
+  // Names of the availability zones; empty: not known. Where evacuations are
+  // served they consist of letters, digits and `-._~`, and `zone` is one of
+  // them.
   std::vector<std::string> zones;
   // Longest time from the acknowledgement of an evacuation until no task is
   // started in the zone any more; 0: evacuations are not served.
@@ -63,6 +65,10 @@
 // Returns the whole content of a file, or nothing when it cannot be read.
 std::optional<std::string> read_text_file(const std::string& path);
 
+// Whether the text may be the name of a zone that can be evacuated: it stands
+// in a path of operators' requests as it is, without an encoding.
+bool is_zone_name(std::string_view text);
+
 // Returns the IP address of an "ip:port" address.
 std::string_view ip_of(std::string_view address);
 
