Replica daemon: orders to evacuate a zone, and their gauge

Cause: operators reach the control log through the replicas' HTTP paths.

Change: POST to the paths of evacuations proposes an order; an unknown path is answered 404 and an invalid zone 400. The settings' zones and evacuation_ms are read again with the seeds, since zones may be added to a running deployment. The gauge `evacuated{zone}` is 1 for each evacuated zone.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -41,6 +41,9 @@
         watch_(loop_,
                path,
                [this](const host_settings& changed) {
+                 // The zones of a deployment may change while it runs.
+                 settings_.zones = changed.zones;
+                 settings_.evacuation_ms = changed.evacuation_ms;
                  feed(replica_seeds{current_time(), changed.seeds});
                }),
         terminate_(loop_, SIGTERM, [this] { runner_.drain(); }),
@@ -155,6 +158,8 @@
     } else if (request.method == "POST" &&
                path.starts_with(Adapter::UPSTREAM_PREFIX)) {
       handle_upstream_request(request);
+    } else if (request.method == "POST") {
+      order_evacuation(request);
     } else {
       answer(request.exchange, STATUS_NOT_FOUND);
     }
@@ -177,6 +182,19 @@
     feed(event);
   }
 
+  void order_evacuation(const http_request& request) {
+    result<wire::evacuation> order =
+        Adapter::read_evacuation(request.path, settings_);
+    if (!ok(order)) {
+      bool is_path = failure(order).code == error_code::not_found;
+      answer(request.exchange, is_path ? STATUS_NOT_FOUND : STATUS_BAD_REQUEST);
+      return;
+    }
+    paths_[request.exchange] = request.path;
+    feed(replica_evacuation_ordered{current_time(), request.exchange,
+                                    std::move(value(order))});
+  }
+
   void handle_upstream_request(const http_request& request) {
     std::string_view rest = request.path;
     rest.remove_prefix(Adapter::UPSTREAM_PREFIX.size());
@@ -235,6 +253,10 @@
              static_cast<double>(state.control->directory.records.size()));
     seen.set("entry_hosts_heard", "",
              static_cast<double>(state.control->entry_hosts.size()));
+    const auto& log =
+        std::get<control_log>(state.groups.begin()->second.machine);
+    for (const std::string& zone : log.table.evacuations().zones())
+      seen.set("evacuated", fmt::format(R"(zone="{}")", zone), 1);
   }
 
   void on_answer(const replica_operator_answer& answer) {
