cyclamenwoodctl: evacuate begin, evacuate finish and evacuations

Cause: an operator needs to order an evacuation, and to see which are in force, without writing HTTP requests.

Change: `evacuate begin|finish ZONE` sends the order to a replica's control address, follows the redirect to the leader and exits with 0 only when it was acknowledged. `evacuations` prints the gauge `evacuated` of a metrics page.

Conclusion: the new tests of ctl pass against a leader and a follower in the test's process. ctl.commands_and_exit_codes was not run here, as it needs a whole deployment.

--- a/cyclamenwood/testing/ctl_test.cc
+++ b/cyclamenwood/testing/ctl_test.cc
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <future>
 
+#include "cyclamenwood/http_server.h"
 #include "cyclamenwood/loop.h"
 #include "cyclamenwood/metrics_page.h"
 #include "cyclamenwood/testing/deployment.h"
@@ -83,6 +84,8 @@
     seen.set("owner", R"(pool="kranj/3",host="10.3.0.38:7460")", 5);
     seen.set("upstream_used_cpu_milli", R"(pool="kranj/3",upstream="u1")", 700);
     seen.set("raft_term", "", 4);
+    seen.set("evacuated", R"(zone="kranj")", 1);
+    seen.set("evacuated_tasks", "", 7);
   });
   ASSERT_TRUE(ok(page.listen("127.0.0.1:0")));
   std::string host = fmt::format("--host 127.0.0.1:{} ", page.port());
@@ -99,6 +102,61 @@
   EXPECT_EQ(print("room"),
             "upstream_used_cpu_milli{pool=\"kranj/3\",upstream=\"u1\"} 700\n");
   EXPECT_EQ(print("log-state"), "raft_term 4\n");
+  EXPECT_EQ(print("evacuations"), "evacuated{zone=\"kranj\"} 1\n");
+}
+
+// Guards against a command that reports a redirect or a refusal as success, or
+// that loses its method on the way to the leader.
+TEST(ctl, sends_an_evacuation_to_the_leader_and_reports_refusals) {
+  event_loop loop;
+  std::string leader_address;
+  std::vector<std::string> seen;
+  http_server leader(
+      loop, {},
+      [&](const http_request& request) {
+        seen.push_back(request.method + " " + request.path);
+        bool is_known = request.path.find("/kranj/") != std::string::npos;
+        leader.respond(request.exchange, {is_known ? 200 : 400, "{}"});
+      },
+      [](uint64_t) {});
+  http_server follower(
+      loop, {},
+      [&](const http_request& request) {
+        follower.respond(
+            request.exchange,
+            {307,
+             "{}",
+             {{"Location",
+               fmt::format("http://{}{}", leader_address, request.path)}}});
+      },
+      [](uint64_t) {});
+  ASSERT_TRUE(ok(leader.listen("127.0.0.1:0")));
+  ASSERT_TRUE(ok(follower.listen("127.0.0.1:0")));
+  leader_address = fmt::format("127.0.0.1:{}", leader.port());
+  auto send = [&](const std::string& command) {
+    std::string line =
+        fmt::format("--host 127.0.0.1:{} {}", follower.port(), command);
+    std::future<command_result> running =
+        std::async(std::launch::async, run_ctl, line);
+    while (running.wait_for(std::chrono::milliseconds(1)) !=
+           std::future_status::ready)
+      ev_run(loop.raw(), EVRUN_NOWAIT);
+    return running.get();
+  };
+  command_result begun = send("evacuate begin kranj");
+  EXPECT_EQ(begun.code, 0) << begun.output;
+  EXPECT_EQ(begun.output, "evacuation of kranj begun\n");
+  EXPECT_EQ(send("evacuate finish kranj").code, 0);
+  command_result refused = send("evacuate begin nowhere");
+  EXPECT_EQ(refused.code, 1);
+  EXPECT_NE(refused.output.find("no such zone"), std::string::npos);
+  EXPECT_EQ(seen, (std::vector<std::string>{"POST /-/evacuate/kranj/begin",
+                                            "POST /-/evacuate/kranj/finish",
+                                            "POST /-/evacuate/nowhere/begin"}));
+  EXPECT_EQ(run_ctl("evacuate pause kranj").code, 2);
+  EXPECT_EQ(
+      run_ctl("--timeout-ms 300 --host 127.0.0.1:1 evacuate begin kranj").code,
+      3);
 }
 
 TEST(ctl, why_reads_logs_of_several_processes) {
--- a/cyclamenwood/util/blocking_http.cc
+++ b/cyclamenwood/util/blocking_http.cc
@@ -8,6 +8,9 @@
 namespace cyclamenwood {
 namespace {
 
+// Replicas redirect once, to the leader; a second time if it changes meanwhile.
+constexpr long MAX_REDIRECTS = 3;
+
 size_t append_body(char* data, size_t size, size_t count, void* into) {
   static_cast<std::string*>(into)->append(data, size * count);
   return size * count;
@@ -29,6 +32,10 @@
                    static_cast<long>(request.timeout_ms));
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &append_body);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &answer.body);
+  curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION,
+                   request.follows_redirects ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_MAXREDIRS, MAX_REDIRECTS);
+  curl_easy_setopt(easy, CURLOPT_REDIR_PROTOCOLS_STR, "http");
   if (!request.body.empty()) {
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(request.body.size()));
--- a/cyclamenwood/util/blocking_http.h
+++ b/cyclamenwood/util/blocking_http.h
@@ -23,6 +23,8 @@
   std::string path;
   std::string body;
   int64_t timeout_ms = 30'000;
+  // Sends the request again, unchanged, to where an answer redirects it.
+  bool follows_redirects = false;
 };
 
 // Returns the complete answer, whatever its status. After connection_failed,
--- a/programs/ctl.cc
+++ b/programs/ctl.cc
@@ -1,8 +1,8 @@
 // cyclamenwoodctl: the command line tool of operators.
 //
-// Most commands send one HTTP request to an entry host or to the metrics
-// address of a process, and print the response. The `check` commands and `why`
-// read files only.
+// Most commands send one HTTP request to an entry host, to the metrics address
+// of a process or to the control address of a replica, and print the response.
+// The `check` commands and `why` read files only.
 #include <curl/curl.h>
 #include <fmt/format.h>
 #include <getopt.h>
@@ -22,6 +22,7 @@
 #include "cyclamenwood/util/blocking_http.h"
 #include "cyclamenwood/util/program.h"
 #include "cyclamenwood/why.h"
+#include "platform/codec.h"
 
 namespace cyclamenwood {
 namespace {
@@ -31,6 +32,9 @@
 constexpr const char* PROGRAM = "cyclamenwoodctl";
 constexpr long DEFAULT_TIMEOUT_MS = 60'000;
 constexpr long FIRST_FAILURE_STATUS = 400;
+constexpr int STATUS_OK = 200;
+constexpr int STATUS_BAD_REQUEST = 400;
+constexpr int STATUS_NOT_FOUND = 404;
 constexpr int INDENT = 2;
 constexpr std::string_view METRICS_PREFIX = "cyclamenwood_";
 
@@ -61,9 +65,17 @@
                               that an entry host owns
   log-state                   print a replica's Raft state and its position in
                               the control log
+  evacuations                 print the availability zones that are evacuated,
+                              as known to an entry host or a replica
   why ID FILE...              print the log lines that explain the outcome of a
                               request; the logs may be of several processes
 
+Commands for a replica of a seeded deployment (--host: its control address):
+  evacuate begin ZONE         start no further tasks in an availability zone
+  evacuate finish ZONE        return the zone to service; its load is restored
+                              gradually. Both follow a redirect to the leader
+                              and may be repeated if no response arrives
+
 Options:
   -H, --host IP:PORT          entry host's HTTP address (default 127.0.0.1:8000)
   -t, --timeout-ms MS         time limit of a request (default 60000)
@@ -248,6 +260,38 @@
   return EXIT_CODE_OK;
 }
 
+// Explains the status of a refused order to begin or finish an evacuation.
+std::string_view explain_refusal(int status) {
+  switch (status) {
+    case STATUS_BAD_REQUEST:
+      return "the deployment has no such zone";
+    case STATUS_NOT_FOUND:
+      return "the deployment does not serve evacuations";
+    default:
+      return "no result yet; repeat the command or try another replica";
+  }
+}
+
+// Begins (`active`) or finishes the evacuation of a zone.
+int order_evacuation(const arguments& args, bool active) {
+  const std::string& zone = args.words[2];
+  blocking_request request{args.host, "POST",
+                           platform::evacuation_path(escape(zone), active), "",
+                           args.timeout_ms};
+  request.follows_redirects = true;
+  result<api_answer> response = call(request);
+  if (!ok(response))
+    return report_error(PROGRAM, failure(response));
+  int status = value(response).status;
+  if (status == STATUS_OK) {
+    fmt::print("evacuation of {} {}\n", zone, active ? "begun" : "finished");
+    return EXIT_CODE_OK;
+  }
+  fmt::print(stderr, "{}: evacuation of {}: HTTP status {}: {}\n", PROGRAM,
+             zone, status, explain_refusal(status));
+  return EXIT_CODE_FAILED;
+}
+
 int show_why(const arguments& args) {
   std::vector<std::string> lines;
   for (size_t i = 2; i < args.words.size(); ++i) {
@@ -306,6 +350,15 @@
        [](const arguments& args) {
          return show_series(args, {"raft_", "upstreams_heard"});
        }},
+      {{"evacuations"},
+       0,
+       [](const arguments& args) { return show_series(args, {"evacuated{"}); }},
+      {{"evacuate", "begin"},
+       1,
+       [](const arguments& args) { return order_evacuation(args, true); }},
+      {{"evacuate", "finish"},
+       1,
+       [](const arguments& args) { return order_evacuation(args, false); }},
       {{"why"}, 2, show_why, true},
       {{"drain"},
        0,
