--- a/cyclamenwood/host_settings.h
+++ b/cyclamenwood/host_settings.h
@@ -45,7 +45,9 @@
   int64_t stop_grace_ms = 6000;
   // Processor capacity of the host, in thousandths of a core; 0: not known.
   int64_t processor_milli = 0;
-  // Names of the availability zones; empty: not known.
+  // Names of the availability zones; empty: not known. Where evacuations are
+  // served they consist of letters, digits and `-._~`, and `zone` is one of
+  // them.
   std::vector<std::string> zones;
   // Longest time from the acknowledgement of an evacuation until no task is
   // started in the zone any more; 0: evacuations are not served.
@@ -65,6 +67,10 @@
 // Returns the whole content of a file, or nothing when it cannot be read.
 std::optional<std::string> read_text_file(const std::string& path);
 
+// Whether the text may be the name of a zone that can be evacuated: it stands
+// in a path of operators' requests as it is, without an encoding.
+bool is_zone_name(std::string_view text);
+
 // Returns the IP address of an "ip:port" address.
 std::string_view ip_of(std::string_view address);
 
--- a/cyclamenwood/owner_policy.h
+++ b/cyclamenwood/owner_policy.h
@@ -78,6 +78,9 @@
   uint32_t upstreams = 0;
   // Its processor capacity, in thousandths of a core; 0: not known.
   uint32_t processor_milli = 0;
+  // The revision of the list of evacuated zones that it had as of its last
+  // hello.
+  uint64_t have_evacuations = 0;
 };
 
 using entry_host_map = std::map<std::string, known_entry_host>;
