Evacuation: entry hosts follow the list of evacuated zones

Cause: an operator evacuates an availability zone, and entry hosts did not know of it.

Change: entry hosts take the list from news of replicas and other entry hosts, before the grants. An owned pool of an evacuated zone starts nothing and returns or ends its queued tasks; at the end its upstreams return to service one after another. The intake plans around such pools, and refuses what no other zone can serve. The choice of pools moves from intake.cc to intake_plan.cc. The random runs of host_model get evacuations as an option.

Conclusion: compiled in part; the tests are not run yet.

--- a/cyclamenwood/host_entry.cc
+++ b/cyclamenwood/host_entry.cc
@@ -30,6 +30,10 @@
 // restarted host is reached unless as many hosts before it are down.
 constexpr size_t PEER_FANOUT = 3;
 
+// An end of an evacuation that arrives later than this after the last news of a
+// replica may be old: five hellos were not answered.
+constexpr int64_t CONTACT_MS = 1'000;
+
 // A process without any event for longer than this was suspended: ticks are
 // more frequent by far.
 constexpr int64_t SUSPENSION_MS = 100;
@@ -111,8 +115,9 @@
 // Returns the pools that this process exchanges hellos with: those that its
 // jobs may go to next, and those that have some of its jobs.
 std::set<std::string> choose_hello_targets(const host_entry& state) {
-  std::set<std::string> targets = choose_neighbours(
-      state.callers.grants, state.settings.zone, state.settings.rpc);
+  std::set<std::string> targets =
+      choose_neighbours(state.callers.grants, state.settings.zone,
+                        state.settings.rpc, state.callers.evacuations.zones);
   for (const auto& [submission, job] : state.callers.jobs) {
     for (const auto& [name, token] : job.pools)
       targets.insert(name);
@@ -156,6 +161,42 @@
                    state.callers.routes->routes.size()));
 }
 
+// Applies the list to the pools. Those that are not owned here follow it too,
+// since they may be granted to this process later.
+void update_evacuated_pools(host_entry& state, unix_ms now) {
+  bool evacuated = is_evacuated(state.callers.evacuations, state.settings.zone);
+  for (auto& [name, pool] : state.pools) {
+    if (evacuated && !pool.evacuated)
+      evacuate_pool(pool, now);
+    else if (!evacuated && pool.evacuated)
+      restore_pool(pool, now);
+  }
+}
+
+void apply_evacuations(host_entry& state,
+                       const wire::evacuation_list& list,
+                       unix_ms now,
+                       host_outbox& out) {
+  zone_evacuations& known = state.callers.evacuations;
+  bool was_evacuated = is_evacuated(known, state.settings.zone);
+  if (!merge_evacuations(known, list, now))
+    return;
+  note(out, "evacuation_in_force",
+       fmt::format("zones={} revision={}", describe_zones(known),
+                   known.revision));
+  bool in_contact = now - state.last_control_news_ms <= CONTACT_MS;
+  if (is_evacuated(known, state.settings.zone))
+    state.restored_ms = 0;
+  else if (was_evacuated)
+    state.restored_ms = in_contact ? now : 0;
+  update_evacuated_pools(state, now);
+  // The neighbours may be others.
+  state.next_pool_hello_ms = now;
+  intake_output taken;
+  receive_evacuations(state.callers, now, taken);
+  apply_output(state, std::move(taken), out);
+}
+
 bool is_granted_here(const host_entry& state, const wire::owner_grant& grant) {
   return grant.host() == state.settings.rpc &&
          grant.incarnation() == state.incarnation;
@@ -167,6 +208,7 @@
                   host_outbox& out) {
   pool& pool = state.pools[pool_name(grant)];
   pool.name = pool_name(grant);
+  pool.evacuated = is_evacuated(state.callers.evacuations, state.settings.zone);
   pool.options.lease_ms = state.settings.run_lease_ms;
   pool.options.resubmission_ms = state.settings.resubmission_ms;
   pool.options.learn_speeds = state.settings.learn_speeds;
@@ -177,6 +219,10 @@
       update_upstream(pool, upstream, now, done);
   }
   acquire_ownership(pool, grant.token(), now, done);
+  bool is_restoring = !pool.evacuated && state.restored_ms != 0 &&
+                      now < state.restored_ms + RESTORE_MS;
+  if (is_restoring)
+    restore_pool(pool, state.restored_ms);
   apply_output(state, pool, std::move(done), now, out);
 }
 
@@ -216,6 +262,8 @@
                      host_outbox& out) {
   wire::envelope envelope;
   envelope.mutable_peer_hello()->set_have_version(state.latest.version());
+  envelope.mutable_peer_hello()->set_have_evacuations(
+      state.callers.evacuations.revision);
   send(state, host, std::move(envelope), out);
 }
 
@@ -237,21 +285,26 @@
   }
 }
 
-// Sends the configuration and the grants to a host with an older configuration,
-// or requests them from one with a newer one.
+// Sends the configuration, the evacuations and the grants to a host with an
+// older configuration or list of evacuations, and requests them from one with
+// newer ones.
 void answer_peer_hello(host_entry& state,
                        const wire::envelope& envelope,
                        host_outbox& out) {
-  uint64_t theirs = envelope.peer_hello().have_version();
-  if (theirs > state.latest.version())
+  const wire::peer_hello& theirs = envelope.peer_hello();
+  uint64_t version = state.latest.version();
+  uint64_t revision = state.callers.evacuations.revision;
+  if (theirs.have_version() < version || theirs.have_evacuations() < revision) {
+    wire::envelope news;
+    *news.mutable_peer_news()->mutable_latest() = state.latest;
+    *news.mutable_peer_news()->mutable_evacuations() =
+        to_wire(state.callers.evacuations);
+    for (const auto& [zone, grant] : state.callers.grants)
+      *news.mutable_peer_news()->add_grants() = grant;
+    send(state, envelope.from(), std::move(news), out);
+  }
+  if (theirs.have_version() > version || theirs.have_evacuations() > revision)
     send_peer_hello(state, envelope.from(), out);
-  if (theirs >= state.latest.version())
-    return;
-  wire::envelope news;
-  *news.mutable_peer_news()->mutable_latest() = state.latest;
-  for (const auto& [zone, grant] : state.callers.grants)
-    *news.mutable_peer_news()->add_grants() = grant;
-  send(state, envelope.from(), std::move(news), out);
 }
 
 void receive_peer_news(host_entry& state,
@@ -259,6 +312,7 @@
                        unix_ms now,
                        host_outbox& out) {
   apply_config(state, message.latest(), out);
+  apply_evacuations(state, message.evacuations(), now, out);
   receive_grants(state, message.grants(), now, out);
 }
 
@@ -311,6 +365,9 @@
   from.have_change = news.change();
   if (news.has_latest())
     apply_config(state, news.latest(), out);
+  // Before the grants: a new owner must not start a task in an evacuated zone.
+  apply_evacuations(state, news.evacuations(), now, out);
+  state.last_control_news_ms = now;
   for (const wire::upstream& upstream : news.upstreams())
     receive_upstream(state, upstream, now, out);
   receive_grants(state, news.grants(), now, out);
@@ -434,6 +491,7 @@
                                                 : 0);
     hello.set_directory(replica.directory);
     hello.set_have_change(replica.have_change);
+    hello.set_have_evacuations(state.callers.evacuations.revision);
     hello.set_have_token(state.callers.have_token);
     hello.set_upstreams(static_cast<uint32_t>(state.upstreams.size()));
     send(state, host, std::move(envelope), out);
--- a/cyclamenwood/host_entry.h
+++ b/cyclamenwood/host_entry.h
@@ -111,6 +111,10 @@
   std::set<std::string> entry_hosts;
   // The configuration in force, as sent to other entry hosts.
   wire::roll_out latest;
+  // When the zone's last evacuation ended, if this process was told of the end
+  // at once; otherwise 0.
+  unix_ms restored_ms = 0;
+  unix_ms last_control_news_ms = 0;
   unix_ms next_peer_hello_ms = 0;
   unix_ms next_replica_hello_ms = 0;
   unix_ms next_pool_hello_ms = 0;
--- a/cyclamenwood/host_metrics.cc
+++ b/cyclamenwood/host_metrics.cc
@@ -61,6 +61,8 @@
       callers.routes ? static_cast<double>(callers.routes->version) : 0);
   metrics.set("open_jobs", "", static_cast<double>(callers.jobs.size()));
   metrics.set("draining", "", state.draining ? 1 : 0);
+  for (const std::string& zone : callers.evacuations.zones)
+    metrics.set("evacuated", fmt::format("zone=\"{}\"", zone), 1);
   write_owner_gauges(callers, now, metrics);
   for (const auto& [name, pool] : state.pools)
     write_pool_gauges(pool, metrics);
--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -22,9 +22,6 @@
 namespace cyclamenwood {
 namespace {
 
-// A pool gets no new job when its last message is older than this: three
-// replies to hellos are missing.
-constexpr int64_t POOL_TIMEOUT_MS = 600;
 // Missing results are requested again after this time, even if the message
 // counts show no loss.
 constexpr int64_t RESEND_MS = 2'000;
@@ -38,9 +35,6 @@
 // to 40%, and a slow task is moved once.
 constexpr int64_t DRAIN_ALLOWANCE = 2;
 constexpr int64_t DRAIN_MARGIN_MS = 300;
-// A task is queued after its return by this many pools. By then the states of
-// most neighbours are as recent as those returns.
-constexpr uint32_t MAX_RETURNS = 4;
 
 // The route of a call, and the part of its path after the route's prefix.
 struct call_target {
@@ -56,94 +50,6 @@
   return target;
 }
 
-// ---- Choice of pools --------------------------------------------------------
-
-// Returns the state reported by the current owner of the pool, or null when it
-// has not sent any yet.
-const pool_view* find_current_pool(const intake& intake,
-                                   const std::string& name) {
-  auto pool = intake.pools.find(name);
-  auto grant = intake.grants.find(name);
-  bool current = pool != intake.pools.end() && grant != intake.grants.end() &&
-                 pool->second.token == grant->second.token();
-  return current ? &pool->second : nullptr;
-}
-
-bool is_fresh(const intake& intake, const std::string& name, unix_ms now) {
-  const pool_view* pool = find_current_pool(intake, name);
-  return pool != nullptr && now - pool->last_contact_ms <= POOL_TIMEOUT_MS;
-}
-
-// The pools chosen for tasks of a step, and the remaining capacity of all
-// pools.
-struct step_plan {
-  pool_plan pools;
-  pool_capacities rooms;
-};
-
-bool is_unassigned(const intake_task& task) {
-  return task.pool.empty();
-}
-
-pool_distance distance_to(const intake& intake, const std::string& name) {
-  const wire::owner_grant& grant = intake.grants.at(name);
-  if (grant.host() == intake.host)
-    return pool_distance::own_host;
-  return grant.zone() == intake.zone ? pool_distance::own_zone
-                                     : pool_distance::other_zone;
-}
-
-// Plans the unassigned tasks of a step.
-step_plan plan_step(const intake& intake,
-                    const intake_job& job,
-                    uint32_t index,
-                    unix_ms now) {
-  step_plan planned;
-  for (const auto& [name, pool] : intake.pools) {
-    auto room = pool.rooms.find(job.queue.service);
-    if (!is_fresh(intake, name, now) || room == pool.rooms.end())
-      continue;
-    planned.rooms[name] = room->second;
-    planned.rooms[name].distance = distance_to(intake, name);
-  }
-  const step_spec& step = job.job.steps[index];
-  const std::vector<intake_task>& tasks = job.steps[index].tasks;
-  planned.pools = choose_pools(
-      planned.rooms,
-      {step.need.cpu_milli(), step.estimate_ms, job.queue.priority},
-      std::count_if(tasks.begin(), tasks.end(), is_unassigned));
-  return planned;
-}
-
-void apply_plan(intake& intake,
-                intake_job& job,
-                uint32_t index,
-                step_plan&& planned) {
-  const pool_plan& plan = planned.pools;
-  size_t next = 0;
-  for (intake_task& task : job.steps[index].tasks) {
-    if (!is_unassigned(task) || next == plan.pools.size())
-      continue;
-    task.pool = plan.pools[next];
-    task.returnable = !plan.queued[next] && task.returns < MAX_RETURNS;
-    ++next;
-  }
-  for (auto& [name, room] : planned.rooms)
-    intake.pools[name].rooms[job.queue.service] = std::move(room);
-}
-
-// Returns whether a job that has not started cannot be served in time because
-// it must wait: it would miss its deadline or, while more work arrives than can
-// be done, its objective.
-bool cannot_finish_in_time(const intake_job& job,
-                           const pool_plan& plan,
-                           unix_ms now) {
-  unix_ms ends_ms = now + plan.wait_ms + critical_path_ms(job.job);
-  bool too_late = ends_ms > job.deadline_ms;
-  bool past_objective = ends_ms > job.objective_ms;
-  return plan.wait_ms > 0 && (too_late || (plan.overloaded && past_objective));
-}
-
 // Returns the outcome of a job whose time is over. Reachable owners stop its
 // runs when they receive the release; at an unreachable one, runs may go on.
 caller_outcome outcome_at_deadline(const intake& intake,
@@ -184,15 +90,6 @@
   return request;
 }
 
-bool is_runnable(const intake_job& job, uint32_t index) {
-  if (job.steps[index].unfinished == 0)
-    return false;
-  const step_spec& step = job.job.steps[index];
-  return std::all_of(
-      step.depends_on.begin(), step.depends_on.end(),
-      [&job](uint32_t earlier) { return job.steps[earlier].unfinished == 0; });
-}
-
 // Sends a request to the pool's owner.
 void send_request(intake& intake,
                   intake_job& job,
@@ -288,10 +185,6 @@
   }
 }
 
-bool has_unassigned(const intake_step& step) {
-  return std::any_of(step.tasks.begin(), step.tasks.end(), is_unassigned);
-}
-
 // Assigns the unassigned tasks of runnable steps and sends them: with `all`,
 // those that were sent before too.
 void send_steps(intake& intake,
@@ -405,6 +298,11 @@
   for (const step_spec& step : job.steps)
     added.steps.push_back({std::vector<intake_task>(step.count), step.count});
   step_plan first = plan_step(intake, added, 0, now);
+  if (is_unservable_by_evacuation(intake, added, first.pools, now)) {
+    end_job(intake, submission, caller_outcome::refused, "zone_evacuated", now,
+            out);
+    return;
+  }
   if (cannot_finish_in_time(added, first.pools, now)) {
     end_job(intake, submission, caller_outcome::refused, "no_room_in_time", now,
             out, first.pools.wait_ms);
@@ -604,6 +502,31 @@
   return true;
 }
 
+// Sends what is unassigned, or refuses the job if no pool serves it because of
+// an evacuation.
+static void retry_unassigned(intake& intake,
+                             uint64_t submission,
+                             unix_ms now,
+                             intake_output& out) {
+  send_steps(intake, submission, false, now, out);
+  if (intake.evacuations.zones.empty())
+    return;
+  const intake_job& job = intake.jobs.at(submission);
+  if (has_unassigned_tasks(job) &&
+      is_unservable_by_evacuation(intake, job, {}, now))
+    end_job(intake, submission, caller_outcome::refused, "zone_evacuated", now,
+            out);
+}
+
+// An owner that returns tasks reports its capacity with them. Without any, as
+// during an evacuation, it must not be chosen for these tasks again.
+static bool has_returns(const wire::run_results& results) {
+  return std::any_of(results.results().begin(), results.results().end(),
+                     [](const wire::run_result& result) {
+                       return result.outcome() == wire::RUN_RETURNED;
+                     });
+}
+
 void receive_run_results(intake& intake,
                          const std::string& from,
                          const wire::run_results& results,
@@ -615,7 +538,7 @@
     ++pool.results_received;
     // Owners of earlier versions don't report their capacity with results.
     bool is_current = pool.token == grant->second.token();
-    if (is_current && !results.services().empty())
+    if (is_current && (!results.services().empty() || has_returns(results)))
       read_rooms(pool, results.services());
   }
   std::set<uint64_t> updated_jobs;
@@ -667,17 +590,19 @@
     if (complete)
       end_job(intake, submission, caller_outcome::completed, "done", now, out);
     else
-      send_steps(intake, submission, false, now, out);
+      retry_unassigned(intake, submission, now, out);
   }
 }
 
-// Whether tasks are unassigned that could be sent.
-static bool has_unassigned_tasks(const intake_job& job) {
-  for (uint32_t index = 0; index < job.steps.size(); ++index) {
-    if (is_runnable(job, index) && has_unassigned(job.steps[index]))
-      return true;
+void receive_evacuations(intake& intake, unix_ms now, intake_output& out) {
+  unassign_evacuated_tasks(intake);
+  std::vector<uint64_t> unassigned;
+  for (const auto& [submission, job] : intake.jobs) {
+    if (has_unassigned_tasks(job))
+      unassigned.push_back(submission);
   }
-  return false;
+  for (uint64_t submission : unassigned)
+    retry_unassigned(intake, submission, now, out);
 }
 
 void tick_intake(intake& intake, unix_ms now, intake_output& out) {
@@ -685,6 +610,7 @@
   tick_releases(intake, now, out);
   tick_refusals(intake, now, out);
   std::vector<uint64_t> expired;
+  std::vector<uint64_t> unassigned;
   for (auto& [submission, job] : intake.jobs) {
     if (now >= std::min(job.deadline_ms, intake.answer_by_ms))
       expired.push_back(submission);
@@ -692,8 +618,10 @@
       send_steps(intake, submission, true, now, out);
     else if (now >= job.sent_ms + UNASSIGNED_RETRY_MS &&
              has_unassigned_tasks(job))
-      send_steps(intake, submission, false, now, out);
+      unassigned.push_back(submission);
   }
+  for (uint64_t submission : unassigned)
+    retry_unassigned(intake, submission, now, out);
   for (uint64_t submission : expired) {
     const intake_job& job = intake.jobs.at(submission);
     end_job(intake, submission, outcome_at_deadline(intake, job, now),
--- a/cyclamenwood/intake.h
+++ b/cyclamenwood/intake.h
@@ -31,6 +31,7 @@
 #include "cyclamenwood/route_table.h"
 #include "cyclamenwood/types.h"
 #include "cyclamenwood/wire.pb.h"
+#include "cyclamenwood/zone_evacuations.h"
 
 namespace cyclamenwood {
 
@@ -205,6 +206,8 @@
   std::optional<route_table> routes;
   // Latest grant of each pool, by the pool's name.
   std::map<std::string, wire::owner_grant> grants;
+  // The evacuations in force: their zones' pools get no new job.
+  zone_evacuations evacuations;
   // Highest token in `grants`.
   uint64_t have_token = 0;
   std::map<std::string, pool_view> pools;
@@ -245,6 +248,10 @@
 // once.
 bool merge_grants(intake& intake, const grant_list& grants);
 
+// Handles a change of `evacuations`: tasks that were not sent are assigned
+// anew, and jobs that no pool serves any more are refused.
+void receive_evacuations(intake& intake, unix_ms now, intake_output& out);
+
 // Takes the state that a pool's owner reported. Requests the unfinished
 // tasks again when the owner is new or messages were lost.
 void receive_pool_state(intake& intake,
--- a/cyclamenwood/intake_internal.h
+++ b/cyclamenwood/intake_internal.h
@@ -13,6 +13,57 @@
 // whole seconds.
 constexpr int64_t MIN_RETRY_AFTER_MS = 1'000;
 
+// ---- intake_plan.cc ---------------------------------------------------------
+
+// The pools chosen for tasks of a step, and the remaining capacity of all
+// pools.
+struct step_plan {
+  pool_plan pools;
+  pool_capacities rooms;
+};
+
+// Returns the state reported by the current owner of the pool, or null when it
+// has not sent any yet.
+const pool_view* find_current_pool(const intake& intake,
+                                   const std::string& name);
+
+// Whether the pool's owner was heard lately.
+bool is_fresh(const intake& intake, const std::string& name, unix_ms now);
+
+// Whether the steps that the step depends on are complete, and it is not.
+bool is_runnable(const intake_job& job, uint32_t index);
+bool has_unassigned(const intake_step& step);
+// Whether tasks are unassigned that could be sent.
+bool has_unassigned_tasks(const intake_job& job);
+
+// Plans the unassigned tasks of a step.
+step_plan plan_step(const intake& intake,
+                    const intake_job& job,
+                    uint32_t index,
+                    unix_ms now);
+void apply_plan(intake& intake,
+                intake_job& job,
+                uint32_t index,
+                step_plan&& planned);
+
+// Returns whether a job that has not started cannot be served in time because
+// it must wait: it would miss its deadline or, while more work arrives than can
+// be done, its objective.
+bool cannot_finish_in_time(const intake_job& job,
+                           const pool_plan& plan,
+                           unix_ms now);
+
+// Whether nothing of the job was sent, and no pool serves it because of the
+// evacuations in force. `plan` is the plan of its unassigned tasks.
+bool is_unservable_by_evacuation(const intake& intake,
+                                 const intake_job& job,
+                                 const pool_plan& plan,
+                                 unix_ms now);
+
+// Tasks that are assigned to pools of evacuated zones and were not sent become
+// unassigned.
+void unassign_evacuated_tasks(intake& intake);
+
 // ---- intake_end.cc ----------------------------------------------------------
 
 // Returns the estimated time of the longest chain of dependent steps, which is
--- a/cyclamenwood/neighbours.cc
+++ b/cyclamenwood/neighbours.cc
@@ -36,20 +36,47 @@
   return stable_hash(host) % std::max<size_t>(pools.size(), 1);
 }
 
+// How many pools of each zone are wanted.
+std::map<std::string, size_t> count_wanted(const zone_pools& zones,
+                                           const std::string& own_zone) {
+  std::map<std::string, size_t> wanted;
+  for (const auto& [zone, pools] : zones)
+    wanted[zone] = 1;
+  if (wanted.contains(own_zone)) {
+    wanted[own_zone] += ZONE_NEIGHBOURS;
+    return wanted;
+  }
+  // The own zone is evacuated.
+  size_t spare = ZONE_NEIGHBOURS + 1;
+  while (spare > 0 && !wanted.empty()) {
+    for (auto next = wanted.begin(); next != wanted.end() && spare > 0;
+         ++next) {
+      ++next->second;
+      --spare;
+    }
+  }
+  return wanted;
+}
+
 }  // namespace
 
 std::set<std::string> choose_neighbours(
     const std::map<std::string, wire::owner_grant>& grants,
     const std::string& zone,
-    const std::string& host) {
+    const std::string& host,
+    const std::set<std::string, std::less<>>& evacuated) {
   std::set<std::string> chosen;
   zone_pools zones = group_by_zone(grants);
   size_t place = position_in(zones[zone], host);
+  std::erase_if(zones, [&evacuated](const auto& item) {
+    return evacuated.contains(item.first);
+  });
+  std::map<std::string, size_t> wanted = count_wanted(zones, zone);
   for (const auto& [other, pools] : zones) {
-    size_t wanted = other == zone ? ZONE_NEIGHBOURS + 1 : 1;
-    if (grants.size() <= MAX_FULL_MESH_POOLS)
-      wanted = pools.size();
-    for (size_t i = 0; i < std::min(wanted, pools.size()); ++i)
+    size_t count = grants.size() <= MAX_FULL_MESH_POOLS
+                       ? pools.size()
+                       : std::min(wanted.at(other), pools.size());
+    for (size_t i = 0; i < count; ++i)
       chosen.insert(pool_name(*pools[(place + i) % pools.size()]));
     for (const wire::owner_grant* pool : pools) {
       if (pool->host() == host)
--- a/cyclamenwood/neighbours.h
+++ b/cyclamenwood/neighbours.h
@@ -7,9 +7,13 @@
 // Work that doesn't fit into the own pool then has several alternatives, every
 // pool has the same number of neighbours, and the cost for a host does not grow
 // with the number of hosts.
+//
+// Pools of evacuated zones are left out. A host of such a zone gets the places
+// of its own zone's pools spread evenly over the other zones.
 #ifndef CYCLAMENWOOD_NEIGHBOURS_H_
 #define CYCLAMENWOOD_NEIGHBOURS_H_
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -29,7 +33,8 @@
 std::set<std::string> choose_neighbours(
     const std::map<std::string, wire::owner_grant>& grants,
     const std::string& zone,
-    const std::string& host);
+    const std::string& host,
+    const std::set<std::string, std::less<>>& evacuated = {});
 
 }  // namespace cyclamenwood
 
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -57,6 +57,9 @@
 // found.
 constexpr int64_t ADOPTION_WINDOW_MS = 400;
 
+// The time over which the upstreams of an evacuated zone return to service.
+constexpr int64_t RESTORE_MS = 2'000;
+
 // How long an upstream may delay its reply to a renewal until a run ends. Each
 // lease is renewed more than twice before it expires.
 constexpr int64_t RENEWAL_WAIT_MS = 300;
@@ -148,6 +151,8 @@
   unix_ms last_contact_ms = 0;
   // No task is started there before this time.
   unix_ms backoff_until_ms = 0;
+  // After an evacuation of the zone, no task is started there before this time.
+  unix_ms accepts_work_from_ms = 0;
   // A task that may have crashed another upstream runs there alone.
   bool isolated = false;
   // It was ejected: after the back-off it gets one task at a time until one
@@ -285,6 +290,11 @@
   unix_ms adoptable_until_ms = 0;
   // A change since the last placement may allow a queued task to start.
   bool placement_due = false;
+  // The zone is evacuated: no task is started.
+  bool evacuated = false;
+  // When the last evacuation of the zone ended; 0: it was never evacuated, or
+  // no ramp applies under this token.
+  unix_ms restored_ms = 0;
 };
 
 // The effects that a pool requests from the daemon.
@@ -311,6 +321,13 @@
 // when another process has become the owner.
 void release_ownership(pool& pool);
 
+// Begins an evacuation: no task is started until `restore_pool`. The next
+// placement returns or ends the queued tasks. Runs go on.
+void evacuate_pool(pool& pool, unix_ms now);
+// Ends an evacuation. The share of the upstreams that take work rises linearly
+// over RESTORE_MS from `restored_ms`, in the order of a hash of their ids.
+void restore_pool(pool& pool, unix_ms restored_ms);
+
 // Adds an upstream, or updates it from a newer announcement. Announcements of
 // earlier incarnations are ignored.
 void update_upstream(pool& pool,
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -30,11 +30,12 @@
                  pool_output& out);
 
 // Returns the queued tasks that may be returned and that no run or end found
-// here may belong to; drops the job if no task remains.
-void return_tasks(pool& pool,
-                  const pool_job_id& id,
-                  unix_ms now,
-                  pool_output& out);
+// here may belong to; drops the job if no task remains. The result is their
+// number.
+size_t return_tasks(pool& pool,
+                    const pool_job_id& id,
+                    unix_ms now,
+                    pool_output& out);
 
 // Updates the task after its run was settled: the task is reported or queued
 // again, unless it was lost too often.
@@ -198,6 +199,19 @@
                     unix_ms now,
                     pool_output& out);
 
+// ---- pool_evacuate.cc -------------------------------------------------------
+
+// Does not send the start again before the lists show whether it was carried
+// out.
+void defer_unanswered_start(leased_run& run, unix_ms now);
+
+// When an upstream that is added now may take work.
+unix_ms accepts_work_from_ms(const pool& pool, std::string_view upstream);
+
+// Places the queued tasks of an evacuated pool: they are adopted, returned or
+// ended.
+void move_queued_tasks(pool& pool, unix_ms now, pool_output& out);
+
 // ---- pool_forecast.cc -------------------------------------------------------
 
 // The time that a task of the request is expected to take on the upstream.
@@ -251,7 +265,12 @@
                                  const std::string& name,
                                  unix_ms now);
 // Whether tasks may be started on the upstream now.
-bool may_take_work(const leased_upstream& upstream, unix_ms now);
+bool may_take_work(const pool& pool,
+                   const leased_upstream& upstream,
+                   unix_ms now);
+// Whether runs of a previous owner may belong to the job that the lists of
+// upstreams have not shown yet.
+bool must_wait_for_lists(const pool& pool, const pool_job& job, unix_ms now);
 // Whether the job can't complete before its deadline any more, even if it takes
 // only half of its estimated time.
 bool is_expired(const pool_job& job, unix_ms now);
--- a/cyclamenwood/pool_jobs.cc
+++ b/cyclamenwood/pool_jobs.cc
@@ -327,13 +327,13 @@
   record_load(pool, request, new_tasks, now);
 }
 
-void return_tasks(pool& pool,
-                  const pool_job_id& id,
-                  unix_ms now,
-                  pool_output& out) {
+size_t return_tasks(pool& pool,
+                    const pool_job_id& id,
+                    unix_ms now,
+                    pool_output& out) {
   auto found = pool.jobs.find(id);
   if (found == pool.jobs.end())
-    return;
+    return 0;
   pool_job& job = found->second;
   size_t returned = 0;
   for (auto item = job.tasks.begin(); item != job.tasks.end();) {
@@ -351,7 +351,7 @@
     item = job.tasks.erase(item);
   }
   if (returned == 0)
-    return;
+    return 0;
   subtract_load(pool, job.request, returned, now);
   bool has_queued =
       std::any_of(job.tasks.begin(), job.tasks.end(),
@@ -360,6 +360,7 @@
     pool.queue.erase(key_of(job));
   if (job.tasks.empty())
     pool.jobs.erase(found);
+  return returned;
 }
 
 bool release_runs(pool& pool,
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -40,33 +40,6 @@
 // capacity left.
 using preference = std::tuple<bool, bool, int64_t>;
 
-// Runs that a previous owner started may not have been listed yet. A resumed
-// job therefore waits until all known upstreams have been listed, including
-// those that its entry host named, or until all leases that the previous owner
-// requested must have expired. That one may not know that it was replaced. It
-// extends leases for the job's tasks as long as their entry host exchanges
-// hellos with it, which may be longer than this process is the owner, but ends
-// before the first request arrives here.
-bool must_wait_for_lists(const pool& pool, const pool_job& job, unix_ms now) {
-  unix_ms former_runs_since_ms =
-      job.former_upstreams.empty()
-          ? pool.owned_since_ms
-          : std::max(pool.owned_since_ms, job.requested_ms);
-  bool former_runs_are_over =
-      now > former_runs_since_ms + pool.options.lease_ms + ADOPTION_WINDOW_MS;
-  if (!job.request.resumed() || former_runs_are_over)
-    return false;
-  bool unlisted =
-      std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
-                  [](const auto& item) { return !item.second.listed; });
-  // An upstream that is missing here has not announced itself yet.
-  return unlisted ||
-         std::any_of(job.former_upstreams.begin(), job.former_upstreams.end(),
-                     [&pool](const std::string& id) {
-                       return !pool.upstreams.contains(id);
-                     });
-}
-
 struct placement {
   // A start was ordered.
   bool started_any = false;
@@ -114,7 +87,7 @@
   void measure() {
     cpu_milli_.clear();
     for (const auto& [id, upstream] : pool_.upstreams) {
-      if (!may_take_work(upstream, now_))
+      if (!may_take_work(pool_, upstream, now_))
         continue;
       int64_t& largest = cpu_milli_[upstream.info.service()];
       largest = std::max(largest, free_resources(upstream).cpu_milli);
@@ -134,8 +107,38 @@
 
 }  // namespace
 
-bool may_take_work(const leased_upstream& upstream, unix_ms now) {
-  return upstream.listed && upstream.reachable && upstream.clock_offset_ms &&
+// Runs that a previous owner started may not have been listed yet. A resumed
+// job therefore waits until all known upstreams have been listed, including
+// those that its entry host named, or until all leases that the previous owner
+// requested must have expired. That one may not know that it was replaced. It
+// extends leases for the job's tasks as long as their entry host exchanges
+// hellos with it, which may be longer than this process is the owner, but ends
+// before the first request arrives here.
+bool must_wait_for_lists(const pool& pool, const pool_job& job, unix_ms now) {
+  unix_ms former_runs_since_ms =
+      job.former_upstreams.empty()
+          ? pool.owned_since_ms
+          : std::max(pool.owned_since_ms, job.requested_ms);
+  bool former_runs_are_over =
+      now > former_runs_since_ms + pool.options.lease_ms + ADOPTION_WINDOW_MS;
+  if (!job.request.resumed() || former_runs_are_over)
+    return false;
+  bool unlisted =
+      std::any_of(pool.upstreams.begin(), pool.upstreams.end(),
+                  [](const auto& item) { return !item.second.listed; });
+  // An upstream that is missing here has not announced itself yet.
+  return unlisted ||
+         std::any_of(job.former_upstreams.begin(), job.former_upstreams.end(),
+                     [&pool](const std::string& id) {
+                       return !pool.upstreams.contains(id);
+                     });
+}
+
+bool may_take_work(const pool& pool,
+                   const leased_upstream& upstream,
+                   unix_ms now) {
+  return !pool.evacuated && now >= upstream.accepts_work_from_ms &&
+         upstream.listed && upstream.reachable && upstream.clock_offset_ms &&
          upstream.info.state() == wire::UPSTREAM_READY &&
          now >= upstream.backoff_until_ms && !upstream.isolated &&
          !(upstream.on_probation && !upstream.runs.empty());
@@ -172,7 +175,7 @@
   leased_upstream* best = nullptr;
   preference best_preference;
   for (auto& [id, upstream] : pool.upstreams) {
-    if (!may_take_work(upstream, now) ||
+    if (!may_take_work(pool, upstream, now) ||
         (task.suspect && !upstream.runs.empty()) ||
         upstream.first_listed_version > known_version ||
         upstream.info.service() != request.service() ||
@@ -241,6 +244,10 @@
   expire_peers(pool, now, out);
   if (!std::exchange(pool.placement_due, false))
     return;
+  if (pool.evacuated) {
+    move_queued_tasks(pool, now, out);
+    return;
+  }
   largest_free_cpu largest_free(pool, now);
   bool may_adopt_runs = may_adopt(pool, now);
   std::vector<queue_key> waiting(pool.queue.begin(), pool.queue.end());
@@ -288,7 +295,7 @@
   described.set_clock_ms(now);
   std::map<std::string, wire::service_room> rooms;
   for (const auto& [id, upstream] : pool.upstreams) {
-    if (!may_take_work(upstream, now))
+    if (!may_take_work(pool, upstream, now))
       continue;
     wire::service_room& room = rooms[upstream.info.service()];
     room.add_free_cpu_milli(
--- a/cyclamenwood/pool_refuse.cc
+++ b/cyclamenwood/pool_refuse.cc
@@ -38,7 +38,7 @@
 service_queues measure_capacity(const pool& pool, unix_ms now) {
   service_queues queues;
   for (const auto& [id, upstream] : pool.upstreams) {
-    if (may_take_work(upstream, now))
+    if (may_take_work(pool, upstream, now))
       queues[upstream.info.service()].capacity_milli +=
           upstream.info.capacity().cpu_milli();
   }
--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -94,6 +94,10 @@
                       unix_ms now,
                       pool_output& out) {
   ++run.unanswered_starts;
+  if (pool.evacuated) {
+    defer_unanswered_start(run, now);
+    return;
+  }
   // If no process listens there, the task may be the reason.
   if (run.unanswered_starts < MAX_UNANSWERED_STARTS && upstream.reachable &&
       !upstream.connection_refused) {
@@ -169,7 +173,10 @@
       start_unanswered(pool, upstream, order, *run, now, out);
       break;
     case order_outcome::late:
-      run->resend_ms = now;
+      if (pool.evacuated)
+        start_rejected(pool, upstream, order, run_end::lease_expired, now, out);
+      else
+        run->resend_ms = now;
       break;
     case order_outcome::stale_attempt:
       // An earlier start of this attempt may have run and ended; the next list
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -133,7 +133,9 @@
   }
   for (const std::string& name : due) {
     leased_run& run = upstream.runs[name];
-    if (run.state == run_state::starting) {
+    if (run.state == run_state::starting && pool.evacuated) {
+      stop_run(pool, upstream, name, now, out);
+    } else if (run.state == run_state::starting) {
       send_start(pool, upstream, name, run, now, out);
     } else if (run.state == run_state::stopping) {
       send_stop(pool, upstream, name, run, now, out);
@@ -294,8 +296,10 @@
     known.info.set_state(wire::UPSTREAM_LEAVING);
   health_of(pool.health, announced.id(), announced.service(), announced.zone(),
             announced.incarnation());
-  if (added)
+  if (added) {
     known.first_listed_version = ++pool.upstreams_version;
+    known.accepts_work_from_ms = accepts_work_from_ms(pool, announced.id());
+  }
   if (!added && !restarted)
     return;
   known.last_contact_ms = now;
@@ -328,6 +332,7 @@
 
 void release_ownership(pool& pool) {
   pool.token = 0;
+  pool.restored_ms = 0;
   pool.orders.clear();
   pool.jobs.clear();
   pool.queue.clear();
--- a/cyclamenwood/testing/host_model.cc
+++ b/cyclamenwood/testing/host_model.cc
@@ -300,6 +300,7 @@
 }
 
 void host_model::execute(host& from, const run_order& order) {
+  check_start_order(from, order);
   delayed_order delayed;
   delayed.from = from.name;
   delayed.incarnation = from.state->incarnation;
@@ -360,6 +361,7 @@
 }
 
 void host_model::dispatch_event(host& host, const host_event& event) {
+  record_told(host, event);
   for (const host_effect& effect : reduce(*host.state, event))
     execute(host, effect);
 }
@@ -422,11 +424,14 @@
   uint64_t incarnation = upstream->info().incarnation();
   // The connection ended with the process that held it.
   bool broken = delayed.held_by != 0 && delayed.held_by != incarnation;
+  uint64_t starts_before = upstream->starts();
   order_reply reply;
   if (refuses(delayed))
     reply.outcome = order_outcome::unhealthy;
   else if (!broken)
     reply = upstream->carry_out(delayed.order, now_);
+  if (upstream->starts() > starts_before)
+    check_carried_out(delayed, *upstream);
   bool waits =
       delayed.order.kind == order_kind::renewal && !delayed.reply_lost &&
       reply.outcome == order_outcome::accepted && reply.ended.empty() &&
@@ -471,6 +476,7 @@
   wire::control_news& news = *envelope.mutable_control_news();
   news.mutable_latest()->set_version(1);
   *news.mutable_grants() = control_.table.grants();
+  *news.mutable_evacuations() = evacuations_;
   return envelope;
 }
 
@@ -574,7 +580,7 @@
         now_ < hidden->second + CAPACITY_KNOWN_MS)
       continue;
     uint32_t known = upstream.info.capacity().cpu_milli();
-    if (may_take_work(upstream, now_) && known > recent_capacity(id))
+    if (may_take_work(pool, upstream, now_) && known > recent_capacity(id))
       fail(fmt::format("pool {} takes upstream {} for one of {}", pool.name, id,
                        known));
   }
@@ -626,6 +632,7 @@
   if (faulty_) {
     inject_faults();
     inject_further_faults();
+    change_evacuations();
   }
   if (options_.changing_capacity) {
     change_capacities();
--- a/cyclamenwood/testing/host_model.h
+++ b/cyclamenwood/testing/host_model.h
@@ -49,6 +49,8 @@
   // Stops that an unhealthy upstream refused.
   uint64_t refused_stops = 0;
   uint64_t lost_replies = 0;
+  // Evacuations that began.
+  uint64_t evacuations = 0;
 };
 
 struct host_model_options {
@@ -86,6 +88,8 @@
   bool fault_series = false;
   // Hosts drain and end.
   bool draining_hosts = false;
+  // Evacuations of the zones begin and finish, and lists of them arrive late.
+  bool evacuations = false;
   // The share by which the clocks of upstreams are slow at most.
   double slow_clocks = 0;
   // Receives a line for each event, if it is set.
@@ -125,6 +129,11 @@
     int suspensions_left = 0;
     unix_ms next_suspension_ms = 0;
   };
+  // Since when a process was told without a break that a zone is evacuated.
+  struct told_evacuations {
+    uint64_t revision = 0;
+    std::map<std::string, unix_ms> since_ms;
+  };
   struct caller_job {
     std::string id;
     std::string zone;
@@ -191,6 +200,14 @@
   // The host that owns the upstream's pool; empty: none.
   std::string owner_of(const std::string& upstream) const;
   void end_drained(host& host);
+  void change_evacuations();
+  // Records what the message tells the process.
+  void record_told(const host& host, const host_event& event);
+  // No start is ordered by a process that was told of the evacuation, and none
+  // is carried out later than the longest lease after that.
+  void check_start_order(const host& host, const run_order& order);
+  void check_carried_out(const delayed_order& delayed,
+                         const fake_upstream& upstream);
   void end_further_faults();
   void leave(caller_job& job);
   void stop_waiting(caller_job& job);
@@ -260,6 +277,12 @@
   control_log control_;
   entry_host_map entry_hosts_;
   unix_ms grants_at_ms_ = 0;
+  wire::evacuation_list evacuations_;
+  // By incarnation of the process.
+  std::map<uint64_t, told_evacuations> told_;
+  unix_ms calm_since_ms_ = 0;
+  // By evacuated zone.
+  std::map<std::string, unix_ms> evacuated_since_ms_;
   uint64_t next_exchange_ = 1;
   uint64_t next_incarnation_ = 1000;
   std::optional<std::string> violation_;
--- a/cyclamenwood/testing/host_model_faults.cc
+++ b/cyclamenwood/testing/host_model_faults.cc
@@ -18,6 +18,14 @@
 constexpr double HOST_CUT = 0.0004;
 constexpr double UPSTREAM_CUT = 0.0008;
 constexpr double UPSTREAM_HIDDEN = 0.0006;
+constexpr double EVACUATION = 0.001;
+constexpr double END_OF_EVACUATION = 0.002;
+constexpr double LATE_EVACUATION_LIST = 0.01;
+// The longest time between a start order and the end of the lease without which
+// the upstream does not carry it out: the longest lease and the slowest clock.
+constexpr int64_t LONGEST_START_MS = 1'100;
+// Without faults, every owner has the list after this time.
+constexpr int64_t LIST_KNOWN_MS = 200;
 // The time between the last answers of a draining host and its end.
 constexpr int64_t LAST_ANSWERS_MS = 100;
 
@@ -174,6 +182,7 @@
 }
 
 void host_model::end_further_faults() {
+  calm_since_ms_ = now_;
   for (auto& [link, until_ms] : cuts_)
     until_ms = std::min(until_ms, now_);
   for (auto& [id, until_ms] : hidden_until_)
@@ -231,4 +240,93 @@
   stop_waiting(job);
 }
 
+void host_model::change_evacuations() {
+  if (!options_.evacuations)
+    return;
+  for (const char* zone : {"kranj", "vic"}) {
+    bool evacuated = evacuated_since_ms_.contains(zone);
+    if (!chance(evacuated ? END_OF_EVACUATION : EVACUATION))
+      continue;
+    if (evacuated)
+      evacuated_since_ms_.erase(zone);
+    else
+      evacuated_since_ms_[zone] = now_;
+    counts_.evacuations += evacuated ? 0 : 1;
+    trace(fmt::format("evacuation of {} {}", zone,
+                      evacuated ? "finishes" : "begins"));
+    evacuations_.set_revision(evacuations_.revision() + 1);
+    evacuations_.clear_zones();
+    for (const auto& [name, since_ms] : evacuated_since_ms_)
+      evacuations_.add_zones(name);
+  }
+  // A former list arrives late, from a replica or from another host.
+  for (const auto& [name, host] : hosts_) {
+    if (!chance(LATE_EVACUATION_LIST))
+      continue;
+    wire::envelope envelope;
+    bool from_peer = chance(0.5);
+    envelope.set_from(from_peer ? hosts_.begin()->first : "control");
+    if (from_peer)
+      *envelope.mutable_peer_news()->mutable_evacuations() = evacuations_;
+    else
+      *envelope.mutable_control_news()->mutable_evacuations() = evacuations_;
+    messages_.push_back({now_ + between(0, 2'000), name, envelope});
+  }
+}
+
+void host_model::record_told(const host& host, const host_event& event) {
+  const auto* received = std::get_if<host_received>(&event);
+  if (!options_.evacuations || received == nullptr)
+    return;
+  const wire::evacuation_list& list =
+      received->envelope.has_peer_news()
+          ? received->envelope.peer_news().evacuations()
+          : received->envelope.control_news().evacuations();
+  told_evacuations& told = told_[host.state->incarnation];
+  if (list.revision() <= told.revision)
+    return;
+  told.revision = list.revision();
+  std::map<std::string, unix_ms> since_ms;
+  for (const std::string& zone : list.zones()) {
+    auto known = told.since_ms.find(zone);
+    since_ms[zone] = known == told.since_ms.end() ? now_ : known->second;
+  }
+  told.since_ms = std::move(since_ms);
+}
+
+void host_model::check_start_order(const host& host, const run_order& order) {
+  if (!options_.evacuations || order.kind != order_kind::start)
+    return;
+  const auto& since_ms = told_[host.state->incarnation].since_ms;
+  if (since_ms.contains(host.zone))
+    fail(fmt::format("{} starts {} in an evacuated zone", host.name,
+                     order.task));
+}
+
+void host_model::check_carried_out(const delayed_order& delayed,
+                                   const fake_upstream& upstream) {
+  if (!options_.evacuations)
+    return;
+  const std::string& zone = upstream.info().zone();
+  auto told = told_.find(delayed.incarnation);
+  if (told != told_.end()) {
+    auto since = told->second.since_ms.find(zone);
+    if (since != told->second.since_ms.end() &&
+        now_ > since->second + LONGEST_START_MS)
+      fail(
+          fmt::format("{} is started {} ms after its owner was told of the "
+                      "evacuation",
+                      delayed.order.task, now_ - since->second));
+  }
+  auto since = evacuated_since_ms_.find(zone);
+  if (faulty_ || since == evacuated_since_ms_.end())
+    return;
+  unix_ms contact_ms = std::max(since->second, calm_since_ms_);
+  for (const auto& [name, host] : hosts_)
+    contact_ms = std::max(contact_ms, host.suspended_until_ms);
+  if (now_ > contact_ms + LIST_KNOWN_MS + LONGEST_START_MS)
+    fail(fmt::format("{} is started in an evacuated zone without faults",
+                     delayed.order.task));
+}
+
 }  // namespace cyclamenwood
--- a/cyclamenwood/testing/host_model_test.cc
+++ b/cyclamenwood/testing/host_model_test.cc
@@ -83,6 +83,19 @@
   check_random_run(seed, options);
 }
 
+// A start in a zone whose evacuation its owner had been told of, and a returned
+// task that ran twice or after its job was refused.
+RC_GTEST_PROP(host_model,
+              nothing_starts_in_an_evacuated_zone,
+              (uint64_t seed)) {
+  host_model_options options;
+  if (seed % 2 == 0)
+    options = all_faults();
+  options.crashing_jobs = seed % 4 == 1 ? 0.1 : 0;
+  options.evacuations = true;
+  check_random_run(seed, options);
+}
+
 TEST(host_model, a_lease_of_other_runs_does_not_keep_a_run_of_a_lost_host) {
   host_model longer(100, {.max_run_ms = 3'000});
   longer.run(8'000, 8'000);
@@ -184,6 +197,23 @@
   EXPECT_GT(sum.suspensions, 50U);
 }
 
+// Checks that the runs with evacuations reach them, and still complete jobs.
+TEST(host_model, reaches_evacuations) {
+  host_model_counts sum;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    host_model model(seed, {.evacuations = true});
+    model.run(8'000, 8'000);
+    EXPECT_FALSE(model.violation()) << seed << ": " << *model.violation();
+    EXPECT_EQ(model.open_jobs(), 0U) << seed;
+    sum.completed += model.counts().completed;
+    sum.refused += model.counts().refused;
+    sum.evacuations += model.counts().evacuations;
+  }
+  EXPECT_GT(sum.completed, 200U);
+  EXPECT_GT(sum.refused, 50U);
+  EXPECT_GT(sum.evacuations, 30U);
+}
+
 // Checks that the options reach their faults.
 TEST(host_model, reaches_every_further_kind_of_fault) {
   host_model_counts sum;
