--- a/cyclamenwood/intake.cc
+++ b/cyclamenwood/intake.cc
@@ -502,13 +502,12 @@
   return true;
 }
 
-// Sends what is unassigned, or refuses the job if no pool serves it because of
-// an evacuation.
-static void retry_unassigned(intake& intake,
-                             uint64_t submission,
-                             unix_ms now,
-                             intake_output& out) {
-  send_steps(intake, submission, false, now, out);
+// Refuses the job if tasks are unassigned, nothing was sent, and no pool serves
+// it because of an evacuation.
+static void refuse_unservable_job(intake& intake,
+                                  uint64_t submission,
+                                  unix_ms now,
+                                  intake_output& out) {
   if (intake.evacuations.zones.empty())
     return;
   const intake_job& job = intake.jobs.at(submission);
@@ -518,6 +517,15 @@
             out);
 }
 
+// Sends what is unassigned, or refuses the job.
+static void retry_unassigned(intake& intake,
+                             uint64_t submission,
+                             unix_ms now,
+                             intake_output& out) {
+  send_steps(intake, submission, false, now, out);
+  refuse_unservable_job(intake, submission, now, out);
+}
+
 // An owner that returns tasks reports its capacity with them. Without any, as
 // during an evacuation, it must not be chosen for these tasks again.
 static bool has_returns(const wire::run_results& results) {
@@ -617,11 +625,13 @@
     else if (now >= job.sent_ms + RESEND_MS)
       send_steps(intake, submission, true, now, out);
     else if (now >= job.sent_ms + UNASSIGNED_RETRY_MS &&
-             has_unassigned_tasks(job))
+             has_unassigned_tasks(job)) {
+      send_steps(intake, submission, false, now, out);
       unassigned.push_back(submission);
+    }
   }
   for (uint64_t submission : unassigned)
-    retry_unassigned(intake, submission, now, out);
+    refuse_unservable_job(intake, submission, now, out);
   for (uint64_t submission : expired) {
     const intake_job& job = intake.jobs.at(submission);
     end_job(intake, submission, outcome_at_deadline(intake, job, now),
