host_soak: option for evacuations

Cause: the random runs of host_model have evacuations as an option that host_soak did not offer.

Conclusion: the file passes a syntax check; the random test with 300 runs passes.

--- a/tools/host_soak.cc
+++ b/tools/host_soak.cc
@@ -31,7 +31,7 @@
     "  --slow-clocks=SHARE       by which clocks of upstreams are slow at "
     "most\n"
     "  --changing-capacity --restarting-clocks --cut-upstreams --cut-hosts\n"
-    "  --fault-series --draining-hosts\n";
+    "  --fault-series --draining-hosts --evacuations\n";
 
 struct soak_options {
   uint64_t first = 1;
@@ -78,6 +78,8 @@
     model.fault_series = true;
   else if (name == "draining-hosts")
     model.draining_hosts = true;
+  else if (name == "evacuations")
+    model.evacuations = true;
 }
 
 soak_options parse_options(int argc, char** argv) {
@@ -99,6 +101,7 @@
       {"cut-hosts", no_argument, nullptr, 0},
       {"fault-series", no_argument, nullptr, 0},
       {"draining-hosts", no_argument, nullptr, 0},
+      {"evacuations", no_argument, nullptr, 0},
       {nullptr, 0, nullptr, 0}};
   soak_options options;
   int index = 0;
