Pool: learn the speeds of upstreams

Upstreams differ in speed (0.6 to 1.6), and one task in thirty is seven times as long as the others. The pool knew only the callers' estimates, so that long tasks were placed on slow upstreams, and tasks that are merely long were stopped and started anew.

With learn_speeds the pool compares completed runs with the corrected estimate and learns a speed for each upstream. Where the speeds of a service differ by a quarter, beyond chance, they decide on placement, moves and capacity.

--- a/cyclamenwood/host_metrics.cc
+++ b/cyclamenwood/host_metrics.cc
@@ -45,6 +45,8 @@
                 static_cast<double>(upstream.runs.size()));
     metrics.set("upstream_reachable", upstream_labels,
                 upstream.reachable ? 1 : 0);
+    if (pool.options.learn_speeds)
+      metrics.set("upstream_speed", upstream_labels, upstream.speed.speed);
     metrics.set("upstream_on_probation", upstream_labels,
                 upstream.on_probation ? 1 : 0);
   }
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -44,6 +44,7 @@
 #include "cyclamenwood/health.h"
 #include "cyclamenwood/loss_history.h"
 #include "cyclamenwood/order.h"
+#include "cyclamenwood/run_times.h"
 #include "cyclamenwood/types.h"
 #include "cyclamenwood/wire.pb.h"
 
@@ -153,6 +154,8 @@
   // It was ejected: after the back-off it gets one task at a time until one
   // succeeds.
   bool on_probation = false;
+  // Learned in this incarnation, if the pool learns speeds.
+  upstream_speed speed;
   // By task name.
   std::map<std::string, leased_run> runs;
   // By task name; also of runs that are settled. Another incarnation would
@@ -173,6 +176,9 @@
   std::set<std::string> failed_on;
   // Attempts that were stopped in order to run elsewhere.
   int moves = 0;
+  // The time that it takes at speed 1, as its progress showed when it was moved;
+  // 0: not known.
+  double size_ms = 0;
   wire::run_outcome outcome = wire::RUN_UNSPECIFIED;
 };
 
@@ -274,6 +280,8 @@
   std::set<queue_key> queue;
   // By service.
   std::map<std::string, load_meter> load;
+  // Empty unless the pool learns speeds.
+  run_times times;
   // The upstream of each unsettled run, by task name.
   std::map<std::string, std::string> placed;
   // Ends that a new owner found, with the times when it found them, and that no
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -200,6 +200,27 @@
 
 // ---- pool_forecast.cc -------------------------------------------------------
 
+// Records the duration of a completed run, if the pool learns speeds.
+void learn_run(pool& pool,
+               leased_upstream& upstream,
+               const pool_job& job,
+               const leased_run& run,
+               unix_ms now);
+
+// Computes the speeds of the upstreams from the recorded runs, and logs those
+// that changed.
+void refresh_speeds(pool& pool, unix_ms now, pool_output& out);
+
+// Whether the upstreams of the service are known to have different speeds. If
+// not, speeds have no effect on placement, moves and capacity.
+bool has_uneven_speeds(const pool& pool, const std::string& service);
+
+// The upstream's speed, or 1 if its service's speeds are not known to differ.
+double effective_speed(const pool& pool, const leased_upstream& upstream);
+
+// The time that a task of the request is expected to take at speed 1.
+double expected_size_ms(const pool& pool, const wire::run_request& request);
+
 // The time that a task of the request is expected to take on the upstream.
 int64_t expected_run_ms(const pool& pool,
                         const leased_upstream& upstream,
@@ -227,6 +248,9 @@
                    size_t tasks,
                    unix_ms now);
 
+// The upstream's processor capacity, weighted by its speed.
+int64_t weighted_cpu_milli(const pool& pool, const leased_upstream& upstream);
+
 // Whether work arrives faster than this processor capacity can process it.
 bool is_overloaded(const pool& pool,
                    const std::string& service,
@@ -235,7 +259,7 @@
 
 // The work of the queued tasks: processor capacity (thousandths of a core)
 // times estimated time (ms).
-double queued_work_of(const pool_job& job);
+double queued_work_of(const pool& pool, const pool_job& job);
 
 // Rejects jobs that can't be served in time because of the work queued ahead of
 // them, unless a start was ordered for one of their tasks.
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -36,9 +36,50 @@
              upstream.labels().end();
 }
 
-// Smaller is better: did not fail there before, close to its data, least
-// capacity left.
-using preference = std::tuple<bool, bool, int64_t>;
+// Smaller is better: did not fail there before, limits (objective with
+// and without a margin, deadline) that it is expected to miss, close to its
+// data, least capacity left.
+using preference = std::tuple<bool, int, bool, int64_t>;
+
+// Estimates are off by 40%: a task is expected to meet a limit if it does so
+// with this many times its expected size. Without that, more of the tasks whose
+// estimate is too low miss their objective on a slow upstream than others meet
+// theirs on a fast one (docs/design/upstream-speeds.md).
+constexpr double SIZE_MARGIN = 1.4;
+
+// The speeds that an upstream needs for a task to meet its job's limits; 0 if
+// the speeds of upstreams are not known to differ.
+struct needed_speeds {
+  double safe_objective = 0;
+  double objective = 0;
+  double safe_deadline = 0;
+};
+
+needed_speeds speeds_for(const pool& pool,
+                         const pool_job& job,
+                         const pool_task& task,
+                         unix_ms now) {
+  if (!has_uneven_speeds(pool, job.request.service()))
+    return {};
+  bool is_known = task.size_ms > 0;
+  double size_ms =
+      is_known ? task.size_ms : expected_size_ms(pool, job.request);
+  double safe_size_ms = is_known ? size_ms : SIZE_MARGIN * size_ms;
+  auto until = [now](unix_ms end_ms) {
+    return static_cast<double>(std::max<int64_t>(end_ms - now, 1));
+  };
+  return {safe_size_ms / until(job.objective_ms),
+          size_ms / until(job.objective_ms),
+          safe_size_ms / until(job.deadline_ms)};
+}
+
+int missed_limits(const leased_upstream& upstream,
+                  const needed_speeds& needed) {
+  double speed = upstream.speed.speed;
+  return (speed < needed.safe_objective ? 1 : 0) +
+         (speed < needed.objective ? 1 : 0) +
+         (speed < needed.safe_deadline ? 1 : 0);
+}
 
 // Runs that a previous owner started may not have been listed yet. A resumed
 // job therefore waits until all known upstreams have been listed, including
@@ -169,6 +210,7 @@
     return nullptr;
   unix_ms wanted_ms = last_wanted_ms(peer->second);
   uint64_t known_version = peer->second.known_upstreams_version;
+  needed_speeds needed = speeds_for(pool, job, task, now);
   leased_upstream* best = nullptr;
   preference best_preference;
   for (auto& [id, upstream] : pool.upstreams) {
@@ -183,6 +225,7 @@
         !may_start_under_lease(pool, upstream, wanted_ms, now))
       continue;
     preference offered{task.failed_on.contains(id),
+                       missed_limits(upstream, needed),
                        !has_label(upstream.info, request.rack()),
                        free.cpu_milli - request.need().cpu_milli()};
     if (best == nullptr || offered < best_preference) {
@@ -272,7 +315,7 @@
     const pool_job& job = pool.jobs.at(std::get<pool_job_id>(key));
     if (!job.late)
       work[{job.request.service(), job.request.priority()}] +=
-          static_cast<int64_t>(queued_work_of(job));
+          static_cast<int64_t>(queued_work_of(pool, job));
   }
   for (const auto& [key, amount] : work) {
     wire::queued_work& queued = *rooms[key.first].add_queued();
@@ -294,7 +337,7 @@
     room.add_free_cpu_milli(
         static_cast<uint32_t>(free_resources(upstream).cpu_milli));
     room.set_total_cpu_milli(room.total_cpu_milli() +
-                             upstream.info.capacity().cpu_milli());
+                             weighted_cpu_milli(pool, upstream));
   }
   add_queued_work(pool, rooms);
   for (auto& [service, room] : rooms) {
--- a/cyclamenwood/pool_refuse.cc
+++ b/cyclamenwood/pool_refuse.cc
@@ -40,7 +40,7 @@
   for (const auto& [id, upstream] : pool.upstreams) {
     if (may_take_work(upstream, now))
       queues[upstream.info.service()].capacity_milli +=
-          upstream.info.capacity().cpu_milli();
+          weighted_cpu_milli(pool, upstream);
   }
   return queues;
 }
@@ -59,9 +59,15 @@
          (overloaded && job.late);
 }
 
-double work_of(const wire::run_request& request, size_t tasks) {
-  return static_cast<double>(tasks) * request.need().cpu_milli() *
-         static_cast<double>(request.estimate_ms());
+// Speeds and corrections of estimates are only defined up to a common factor,
+// so that both apply or neither.
+double work_of(const pool& pool,
+               const wire::run_request& request,
+               size_t tasks) {
+  double size_ms = has_uneven_speeds(pool, request.service())
+                       ? expected_size_ms(pool, request)
+                       : static_cast<double>(request.estimate_ms());
+  return static_cast<double>(tasks) * request.need().cpu_milli() * size_ms;
 }
 
 // The meter's work, decayed to the current time.
@@ -84,11 +90,16 @@
   return arriving_milli > USABLE_SHARE * static_cast<double>(capacity_milli);
 }
 
-double queued_work_of(const pool_job& job) {
+int64_t weighted_cpu_milli(const pool& pool, const leased_upstream& upstream) {
+  return static_cast<int64_t>(upstream.info.capacity().cpu_milli() *
+                              effective_speed(pool, upstream));
+}
+
+double queued_work_of(const pool& pool, const pool_job& job) {
   auto queued =
       std::count_if(job.tasks.begin(), job.tasks.end(),
                     [](const auto& item) { return item.second.queued; });
-  return work_of(job.request, queued);
+  return work_of(pool, job.request, queued);
 }
 
 void record_load(pool& pool,
@@ -96,7 +107,7 @@
                  size_t tasks,
                  unix_ms now) {
   load_meter& meter = pool.load[request.service()];
-  meter.work = decayed_work(meter, now) + work_of(request, tasks);
+  meter.work = decayed_work(meter, now) + work_of(pool, request, tasks);
   meter.read_ms = now;
 }
 
@@ -106,7 +117,7 @@
                    unix_ms now) {
   load_meter& meter = pool.load[request.service()];
   meter.work =
-      std::max(decayed_work(meter, now) - work_of(request, tasks), 0.0);
+      std::max(decayed_work(meter, now) - work_of(pool, request, tasks), 0.0);
   meter.read_ms = now;
 }
 
@@ -129,7 +140,7 @@
     if (is_unservable(job, wait_ms, overloaded, now))
       rejected.push_back(std::get<pool_job_id>(key));
     else
-      queue.work_ahead += queued_work_of(job);
+      queue.work_ahead += queued_work_of(pool, job);
   }
   for (const pool_job_id& id : rejected)
     expire_job(pool, pool.jobs.at(id), out);
--- a/cyclamenwood/pool_replies.cc
+++ b/cyclamenwood/pool_replies.cc
@@ -257,10 +257,15 @@
 }
 
 // Durations of completed tasks predict those of the job's other tasks.
-void record_run_length(pool& pool, const leased_run& run, unix_ms now) {
+void record_run_length(pool& pool,
+                       leased_upstream& upstream,
+                       const leased_run& run,
+                       unix_ms now) {
   pool_job* job = find_job(pool, run);
-  if (job != nullptr && run.started_ms != 0)
-    job->longest_run_ms = std::max(job->longest_run_ms, now - run.started_ms);
+  if (job == nullptr || run.started_ms == 0)
+    return;
+  job->longest_run_ms = std::max(job->longest_run_ms, now - run.started_ms);
+  learn_run(pool, upstream, *job, run, now);
 }
 
 void store_found_end(pool& pool, const listed_end& end, unix_ms now) {
@@ -280,7 +285,7 @@
   auto run = upstream.runs.find(end.task);
   if (run != upstream.runs.end() && run->second.attempt == end.attempt) {
     if (end.how == run_end::done)
-      record_run_length(pool, run->second, now);
+      record_run_length(pool, upstream, run->second, now);
     end_run(pool, upstream, end.task, end.how, out);
   } else if (!upstream.listed) {
     store_found_end(pool, end, now);
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -206,6 +206,7 @@
   upstream.last_end_number = 0;
   upstream.clock_offset_ms.reset();
   upstream.on_probation = false;
+  upstream.speed = {};
   for (auto& [name, run] : upstream.runs) {
     // A stop may have been acknowledged by the new incarnation already.
     bool may_have_run = !is_stopped(run) || run.unanswered_starts > 0;
@@ -335,6 +336,7 @@
   pool.unclaimed_ends.clear();
   pool.released.clear();
   pool.peers.clear();
+  pool.times = {};
   for (auto& [id, upstream] : pool.upstreams) {
     wire::upstream info = upstream.info;
     uint64_t first_listed_version = upstream.first_listed_version;
@@ -352,6 +354,7 @@
   demote_late_jobs(pool, now);
   expire_released(pool, now);
   expire_losses(pool.losses, now);
+  refresh_speeds(pool, now, out);
   std::vector<std::string> expired;
   for (auto& [id, upstream] : pool.upstreams) {
     if (!upstream.reachable && now >= upstream.leases_expire_ms)
--- a/cyclamenwood/testing/fake_upstream.cc
+++ b/cyclamenwood/testing/fake_upstream.cc
@@ -128,8 +128,10 @@
     highest_ended_attempts_[order.task] =
         std::max(highest_ended_attempts_[order.task], order.attempt);
     auto running = runs_.find(order.task);
-    if (running != runs_.end() && running->second.attempt <= order.attempt)
+    if (running != runs_.end() && running->second.attempt <= order.attempt) {
+      stopped_run_ms_ += now - running->second.started_ms;
       end(order.task, run_end::stopped);
+    }
   } else {
     std::erase_if(ends_, [&order](const listed_end& end) {
       return end.number <= order.last_end_number;
--- a/cyclamenwood/testing/fake_upstream.h
+++ b/cyclamenwood/testing/fake_upstream.h
@@ -71,6 +71,8 @@
   uint64_t starts() const { return starts_; }
   // The tasks whose start crashed it, in order.
   const std::vector<std::string>& crashed_by() const { return crashed_by_; }
+  // The time that stopped runs had taken.
+  int64_t stopped_run_ms() const { return stopped_run_ms_; }
   uint64_t rejected_no_room() const { return rejected_no_room_; }
   void set_run_ms(int64_t run_ms) { run_ms_ = run_ms; }
   // If set, every run that starts fails at once.
@@ -96,6 +98,7 @@
   std::vector<listed_end> ends_;
   uint64_t next_end_ = 1;
   uint64_t starts_ = 0;
+  int64_t stopped_run_ms_ = 0;
   uint64_t rejected_no_room_ = 0;
   std::vector<std::string> crashed_by_;
   // 0: it is running.
--- a/cyclamenwood/testing/zone_load.h
+++ b/cyclamenwood/testing/zone_load.h
@@ -58,8 +58,19 @@
   // The routes of the queues q0, q1 and so on; each gets the same share of the
   // jobs.
   std::vector<uint32_t> priorities = {0};
+  // Each class of jobs has its own queue, in the order of JOB_CLASSES.
+  bool queue_by_class = false;
+  // The speeds of upstreams, in turn. Empty: 1.
+  std::vector<double> speeds;
+  // Standard deviation of the logarithm of run time over estimate, by job.
+  double estimate_spread = 0;
+  // One task in this many takes LONG_TASK_FACTOR times as long; 0: none.
+  uint64_t long_task_interval = 0;
+  bool learn_speeds = false;
 };
 
+constexpr int64_t LONG_TASK_FACTOR = 7;
+
 // Jobs by their answers. `arrived` is the sum of the others and of those that
 // got no answer.
 struct zone_load_counts {
@@ -134,6 +145,21 @@
   }
   // Times between the arrival of jobs and their refusal.
   const std::vector<int64_t>& refusal_ms() const { return refusal_ms_; }
+  // By the run time of the job's class.
+  const std::map<int64_t, size_t>& in_time_by_class() const {
+    return in_time_by_class_;
+  }
+  // Time of the runs that were stopped.
+  int64_t discarded_ms() const {
+    int64_t sum = 0;
+    for (const fake_upstream& upstream : upstreams_)
+      sum += upstream.stopped_run_ms();
+    return sum;
+  }
+  // The starts and stops that were ordered, and a digest of them with their
+  // times.
+  size_t orders_sent() const { return orders_sent_; }
+  uint64_t orders_digest() const { return orders_digest_; }
   size_t unanswered() const { return calls_.size(); }
   bool ran_twice() const { return ran_twice_; }
   Processor& processor(uint32_t shard) {
@@ -160,6 +186,7 @@
   struct open_call {
     unix_ms sent_ms = 0;
     int64_t run_ms = 0;
+    int64_t estimate_ms = 0;
     uint32_t priority = 0;
     bool started = false;
   };
@@ -203,6 +230,7 @@
     settings.name = host_name(shard);
     settings.rpc = host_name(shard);
     settings.zone = "kranj";
+    settings.learn_speeds = options_.learn_speeds;
     hosts_[host_name(shard)] = {
         make_host_entry(settings, incarnation_of(shard),
                         [this](std::string_view) -> result<route_table> {
@@ -215,8 +243,12 @@
       if (shard_of(id, options_.shards) != shard)
         continue;
       upstreams_.emplace_back(id, "kranj", options_.upstream_cpu_milli, 0, 0);
-      upstreams_.back().run_ms_of = [this](const std::string& task) {
-        return run_ms_.at(exchange_of(task));
+      double speed =
+          options_.speeds.empty()
+              ? 1
+              : options_.speeds.at(upstreams_.size() % options_.speeds.size());
+      upstreams_.back().run_ms_of = [this, speed](const std::string& task) {
+        return static_cast<int64_t>(static_cast<double>(size_ms(task)) / speed);
       };
       ++found;
     }
@@ -241,6 +273,21 @@
     deliver(to, host_received{now_, envelope});
   }
 
+  // The time that the task takes at speed 1; the same for each of its attempts.
+  int64_t size_ms(const std::string& task) const {
+    uint64_t interval = options_.long_task_interval;
+    bool is_long = interval != 0 && stable_hash(task) % interval == 0;
+    return run_ms_.at(exchange_of(task)) * (is_long ? LONG_TASK_FACTOR : 1);
+  }
+
+  int64_t draw_estimate(int64_t run_ms) {
+    if (options_.estimate_spread <= 0)
+      return run_ms;
+    double drawn =
+        std::lognormal_distribution<>(0, options_.estimate_spread)(random_);
+    return static_cast<int64_t>(static_cast<double>(run_ms) / drawn);
+  }
+
   const job_class& draw_class() {
     double drawn = std::uniform_real_distribution<>(0, 1)(random_);
     for (const job_class& kind : JOB_CLASSES) {
@@ -254,9 +301,13 @@
   void submit() {
     const job_class& kind = draw_class();
     uint64_t exchange = next_exchange_++;
-    size_t queue = exchange % options_.priorities.size();
+    size_t queue = options_.queue_by_class
+                       ? static_cast<size_t>(&kind - JOB_CLASSES.data())
+                       : exchange % options_.priorities.size();
+    int64_t estimate_ms = draw_estimate(kind.run_ms);
     run_ms_[exchange] = kind.run_ms;
-    calls_[exchange] = {now_, kind.run_ms, options_.priorities[queue], false};
+    calls_[exchange] = {now_, kind.run_ms, estimate_ms,
+                        options_.priorities[queue], false};
     ++counts_.arrived;
     job_spec job;
     job.spec = "s";
@@ -264,7 +315,7 @@
     step_spec step;
     step.count = kind.tasks;
     step.need.set_cpu_milli(1000);
-    step.estimate_ms = kind.run_ms;
+    step.estimate_ms = estimate_ms;
     job.steps = {step};
     caller_call call;
     call.exchange = exchange;
@@ -353,7 +404,7 @@
         if (auto* sent = std::get_if<host_send>(&effect))
           send(*sent, end_ms);
         else if (auto* order = std::get_if<run_order>(&effect))
-          orders_.push_back({end_ms + 1, end_ms, name, std::move(*order)});
+          send_order(name, std::move(*order), end_ms);
         else if (auto* answer = std::get_if<caller_answer>(&effect))
           take_answer(*answer, end_ms);
       }
@@ -368,16 +419,28 @@
     messages_.push_back({now + 1, sent.host, std::move(sent.envelope)});
   }
 
+  void send_order(const std::string& from, run_order order, unix_ms now) {
+    if (order.kind != order_kind::renewal) {
+      ++orders_sent_;
+      orders_digest_ =
+          stable_hash(fmt::format("{} {} {} {} {} {}", orders_digest_, now,
+                                  static_cast<int>(order.kind), order.upstream,
+                                  order.task, order.attempt));
+    }
+    orders_.push_back({now + 1, now, from, std::move(order)});
+  }
+
   void take_answer(const caller_answer& answer, unix_ms now) {
     auto found = calls_.find(answer.exchange);
     open_call call = found->second;
     calls_.erase(found);
     if (answer.outcome == caller_outcome::completed) {
       double objective_ms =
-          TARGET_MS + SLACK_FACTOR * static_cast<double>(call.run_ms);
+          TARGET_MS + SLACK_FACTOR * static_cast<double>(call.estimate_ms);
       bool in_time = static_cast<double>(now - call.sent_ms) <= objective_ms;
       ++(in_time ? counts_.in_time : counts_.late);
       in_time_by_priority_[call.priority] += in_time ? 1 : 0;
+      in_time_by_class_[call.run_ms] += in_time ? 1 : 0;
     } else if (answer.outcome == caller_outcome::refused) {
       ++counts_.refused;
       counts_.refused_started += call.started ? 1 : 0;
@@ -400,8 +463,11 @@
   std::map<uint64_t, int64_t> run_ms_;
   zone_load_counts counts_;
   std::map<uint32_t, size_t> in_time_by_priority_;
+  std::map<int64_t, size_t> in_time_by_class_;
   std::vector<int64_t> refusal_ms_;
   bool ran_twice_ = false;
+  size_t orders_sent_ = 0;
+  uint64_t orders_digest_ = 0;
 };
 
 }  // namespace cyclamenwood
