--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -210,7 +210,8 @@
     return nullptr;
   unix_ms wanted_ms = last_wanted_ms(peer->second);
   uint64_t known_version = peer->second.known_upstreams_version;
-  needed_speeds needed = speeds_for(pool, job, task, now);
+  // Not needed where the task fits on no upstream.
+  std::optional<needed_speeds> needed;
   leased_upstream* best = nullptr;
   preference best_preference;
   for (auto& [id, upstream] : pool.upstreams) {
@@ -224,8 +225,10 @@
     if (!fits(request.need(), free) || upstream.runs.contains(name) ||
         !may_start_under_lease(pool, upstream, wanted_ms, now))
       continue;
+    if (!needed)
+      needed = speeds_for(pool, job, task, now);
     preference offered{task.failed_on.contains(id),
-                       missed_limits(upstream, needed),
+                       missed_limits(upstream, *needed),
                        !has_label(upstream.info, request.rack()),
                        free.cpu_milli - request.need().cpu_milli()};
     if (best == nullptr || offered < best_preference) {
