Pool: reservations for waiting tasks

A task that needs much of an upstream starves beside small ones, which take each part as it becomes free. With reserve_for_waiting the four foremost tasks of a service that fit nowhere reserve the upstream where they are expected to fit first. Tasks behind start there only if that does not delay them; tasks ahead prefer other upstreams. Deadlines bound reservations, and smaller work is held back for 1,000 ms at most for one task.

Off by default.

--- a/cyclamenwood/host_metrics.cc
+++ b/cyclamenwood/host_metrics.cc
@@ -32,6 +32,15 @@
   metrics.set("pool_runs", labels, static_cast<double>(pool.placed.size()));
   metrics.set("pool_upstreams", labels,
               static_cast<double>(pool.upstreams.size()));
+  const reservation_state& reservations = pool.reservations;
+  metrics.set("pool_reservations", labels,
+              static_cast<double>(reservations.current.size()));
+  metrics.set("pool_reserved_tasks", labels,
+              static_cast<double>(reservations.made));
+  metrics.set("pool_dropped_reservations", labels,
+              static_cast<double>(reservations.dropped));
+  metrics.set("pool_tasks_held_back", labels,
+              static_cast<double>(reservations.tasks_held_back));
   if (pool.token == 0)
     return;
   for (const auto& [id, upstream] : pool.upstreams) {
--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -173,6 +173,17 @@
   std::set<std::string> failed_on;
   // Attempts that were stopped in order to run elsewhere.
   int moves = 0;
+  // A reservation was made for it, or is not made any more because it kept
+  // other tasks waiting for too long.
+  bool reserved = false;
+  bool reservation_dropped = false;
+  // When an upstream was searched for it last, and whether one was found.
+  unix_ms searched_ms = 0;
+  bool has_upstream = false;
+  // The reservation of another task has kept it from starting.
+  bool held_back = false;
+  // When its reservation first kept another task from starting; 0: it did not.
+  unix_ms holding_since_ms = 0;
   wire::run_outcome outcome = wire::RUN_UNSPECIFIED;
 };
 
@@ -239,6 +250,26 @@
   bool reserve_for_waiting = false;
 };
 
+// An upstream that is kept for a waiting task (pool_reserve.h).
+struct upstream_reservation {
+  pool_job_id job;
+  uint32_t task = 0;
+  std::string upstream;
+  // When the task is expected to start there.
+  unix_ms expected_ms = 0;
+  // What remains free beside it then.
+  resource_amount spare;
+};
+
+struct reservation_state {
+  // Those of the last placement.
+  std::vector<upstream_reservation> current;
+  // Tasks, each counted once.
+  uint64_t made = 0;
+  uint64_t dropped = 0;
+  uint64_t tasks_held_back = 0;
+};
+
 // Recently requested work, exponentially decayed: processor capacity
 // (thousandths of a core) times estimated time (ms).
 struct load_meter {
@@ -281,6 +312,7 @@
   std::map<std::string, std::pair<run_end, unix_ms>> unclaimed_ends;
   // The runs that were lost with upstreams of this pool.
   loss_history losses;
+  reservation_state reservations;
   // Until this time runs that were found may be adopted.
   unix_ms adoptable_until_ms = 0;
   // A change since the last placement may allow a queued task to start.
--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -9,6 +9,8 @@
 
 namespace cyclamenwood {
 
+class reservation_plan;
+
 // "JOB.0.STEP.TASK": the name of a task on upstreams.
 std::string task_name(const wire::run_request& request, uint32_t task);
 
@@ -244,12 +246,16 @@
 // ---- pool_place.cc ----------------------------------------------------------
 
 // Returns the best upstream for the task `name`, or null if none has enough
-// free resources. One that still has a run of this name is not chosen.
+// free resources. One that still has a run of this name is not chosen. Without
+// a plan, upstreams that are reserved for waiting tasks are not chosen.
 leased_upstream* choose_upstream(pool& pool,
                                  const pool_job& job,
                                  const pool_task& task,
                                  const std::string& name,
+                                 const reservation_plan* plan,
                                  unix_ms now);
+bool fits(const wire::room& need, const resource_amount& free);
+bool has_label(const wire::upstream& upstream, const std::string& label);
 // Whether tasks may be started on the upstream now.
 bool may_take_work(const leased_upstream& upstream, unix_ms now);
 // Whether the job can't complete before its deadline any more, even if it takes
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -7,6 +7,8 @@
 // entry host knows of capacity elsewhere, where the task starts sooner than it
 // would here.
 //
+// Upstreams may be reserved for tasks that wait (pool_reserve.h).
+//
 // A task that may have crashed an upstream gets one to itself: if it crashes
 // that one too, it takes no other task with it, and the second crash shows
 // which of the tasks that were lost in the first one was the cause.
@@ -20,25 +22,14 @@
 #include <utility>
 
 #include "cyclamenwood/pool_internal.h"
+#include "cyclamenwood/pool_reserve.h"
 
 namespace cyclamenwood {
 namespace {
 
-bool fits(const wire::room& need, const resource_amount& free) {
-  return need.cpu_milli() <= free.cpu_milli &&
-         need.memory_mb() <= free.memory_mb &&
-         need.accelerators() <= free.accelerators;
-}
-
-bool has_label(const wire::upstream& upstream, const std::string& label) {
-  return label.empty() ||
-         std::find(upstream.labels().begin(), upstream.labels().end(), label) !=
-             upstream.labels().end();
-}
-
-// Smaller is better: did not fail there before, close to its data, least
-// capacity left.
-using preference = std::tuple<bool, bool, int64_t>;
+// Smaller is better: did not fail there before, not reserved for another task
+// lately, close to its data, least capacity left.
+using preference = std::tuple<bool, bool, bool, int64_t>;
 
 // Runs that a previous owner started may not have been listed yet. A resumed
 // job therefore waits until all known upstreams have been listed, including
@@ -75,7 +66,11 @@
 };
 
 // Starts those tasks of the job that fit.
-placement place_job(pool& pool, pool_job& job, unix_ms now, pool_output& out) {
+placement place_job(pool& pool,
+                    pool_job& job,
+                    reservation_plan& plan,
+                    unix_ms now,
+                    pool_output& out) {
   placement done;
   for (auto& [index, task] : job.tasks) {
     if (!task.queued || adopt_task(pool, job, index, out))
@@ -84,37 +79,51 @@
     leased_upstream* upstream =
         pool.placed.contains(name)
             ? nullptr
-            : choose_upstream(pool, job, task, name, now);
+            : choose_upstream(pool, job, task, name, &plan, now);
     if (upstream == nullptr) {
       done.has_queued = true;
       continue;
     }
     task.queued = false;
     start_run(pool, *upstream, job, index, now, out);
+    plan.task_started(*upstream, job.request);
     done.started_any = true;
   }
   return done;
 }
 
-// The largest free processor capacity of any single upstream, by service. In a
+// The largest free processor capacity of any single upstream that is not
+// reserved, by service. In a
 // long queue most jobs can be skipped by it without a search of the upstreams.
 class largest_free_cpu {
  public:
-  largest_free_cpu(const pool& pool, unix_ms now) : pool_(pool), now_(now) {
+  largest_free_cpu(const pool& pool, const reservation_plan& plan, unix_ms now)
+      : pool_(pool), plan_(plan), now_(now) {
     measure();
   }
 
   bool may_fit(const pool_job& job) const {
     auto found = cpu_milli_.find(job.request.service());
-    return found != cpu_milli_.end() &&
-           job.request.need().cpu_milli() <= found->second;
+    return (found != cpu_milli_.end() &&
+            job.request.need().cpu_milli() <= found->second) ||
+           plan_.may_backfill(job.request);
+  }
+
+  // Whether it changes when an upstream with this free capacity is reserved for
+  // the job.
+  bool depends_on(const pool_job& job, int64_t cpu_milli) const {
+    if (cpu_milli == 0)
+      return false;
+    auto found = cpu_milli_.find(job.request.service());
+    return found != cpu_milli_.end() && cpu_milli >= found->second;
   }
 
-  // Must be called again after tasks were placed.
+  // Must be called again after tasks were placed, or if it depends on an
+  // upstream that was reserved.
   void measure() {
     cpu_milli_.clear();
     for (const auto& [id, upstream] : pool_.upstreams) {
-      if (!may_take_work(upstream, now_))
+      if (!may_take_work(upstream, now_) || plan_.is_reserved(upstream))
         continue;
       int64_t& largest = cpu_milli_[upstream.info.service()];
       largest = std::max(largest, free_resources(upstream).cpu_milli);
@@ -123,6 +132,7 @@
 
  private:
   const pool& pool_;
+  const reservation_plan& plan_;
   unix_ms now_;
   std::map<std::string_view, int64_t> cpu_milli_;
 };
@@ -134,6 +144,18 @@
 
 }  // namespace
 
+bool fits(const wire::room& need, const resource_amount& free) {
+  return need.cpu_milli() <= free.cpu_milli &&
+         need.memory_mb() <= free.memory_mb &&
+         need.accelerators() <= free.accelerators;
+}
+
+bool has_label(const wire::upstream& upstream, const std::string& label) {
+  return label.empty() ||
+         std::find(upstream.labels().begin(), upstream.labels().end(), label) !=
+             upstream.labels().end();
+}
+
 bool may_take_work(const leased_upstream& upstream, unix_ms now) {
   return upstream.listed && upstream.reachable && upstream.clock_offset_ms &&
          upstream.info.state() == wire::UPSTREAM_READY &&
@@ -162,6 +184,7 @@
                                  const pool_job& job,
                                  const pool_task& task,
                                  const std::string& name,
+                                 const reservation_plan* plan,
                                  unix_ms now) {
   const wire::run_request& request = job.request;
   auto peer = pool.peers.find(job.from);
@@ -182,7 +205,12 @@
     if (!fits(request.need(), free) || upstream.runs.contains(name) ||
         !may_start_under_lease(pool, upstream, wanted_ms, now))
       continue;
+    bool may_use = plan != nullptr ? plan->allows(upstream, request)
+                                   : find_reservation(pool, id) == nullptr;
+    if (!may_use)
+      continue;
     preference offered{task.failed_on.contains(id),
+                       plan != nullptr && plan->was_reserved(upstream),
                        !has_label(upstream.info, request.rack()),
                        free.cpu_milli - request.need().cpu_milli()};
     if (best == nullptr || offered < best_preference) {
@@ -241,7 +269,8 @@
   expire_peers(pool, now, out);
   if (!std::exchange(pool.placement_due, false))
     return;
-  largest_free_cpu largest_free(pool, now);
+  reservation_plan plan(pool, now);
+  largest_free_cpu largest_free(pool, plan, now);
   bool may_adopt_runs = may_adopt(pool, now);
   std::vector<queue_key> waiting(pool.queue.begin(), pool.queue.end());
   for (const queue_key& key : waiting) {
@@ -250,15 +279,18 @@
       expire_job(pool, job, out);
       continue;
     }
-    bool may_start = may_adopt_runs || largest_free.may_fit(job);
-    if (!may_start || must_wait_for_lists(pool, job, now))
+    if (must_wait_for_lists(pool, job, now))
       continue;
-    placement placed = place_job(pool, job, now, out);
+    placement placed{.has_queued = true};
+    if (may_adopt_runs || largest_free.may_fit(job))
+      placed = place_job(pool, job, plan, now, out);
+    int64_t reserved_cpu = placed.has_queued ? plan.job_waits(job, out) : 0;
     if (!placed.has_queued)
       pool.queue.erase(key);
-    if (placed.started_any)
+    if (placed.started_any || largest_free.depends_on(job, reserved_cpu))
       largest_free.measure();
   }
+  plan.finish();
   for (const queue_key& key : waiting)
     return_tasks(pool, std::get<pool_job_id>(key), now, out);
   reject_unservable_jobs(pool, now, out);
@@ -281,6 +313,17 @@
   }
 }
 
+// What a task may use that takes any time.
+static uint32_t free_for_any_task(const pool& pool,
+                                  const leased_upstream& upstream) {
+  int64_t free = free_resources(upstream).cpu_milli;
+  const upstream_reservation* reserved =
+      find_reservation(pool, upstream.info.id());
+  if (reserved != nullptr)
+    free = std::clamp<int64_t>(reserved->spare.cpu_milli, 0, free);
+  return static_cast<uint32_t>(free);
+}
+
 wire::pool_state describe_pool(const pool& pool, unix_ms now) {
   wire::pool_state described;
   described.set_pool(pool.name);
@@ -291,8 +334,7 @@
     if (!may_take_work(upstream, now))
       continue;
     wire::service_room& room = rooms[upstream.info.service()];
-    room.add_free_cpu_milli(
-        static_cast<uint32_t>(free_resources(upstream).cpu_milli));
+    room.add_free_cpu_milli(free_for_any_task(pool, upstream));
     room.set_total_cpu_milli(room.total_cpu_milli() +
                              upstream.info.capacity().cpu_milli());
   }
--- a/cyclamenwood/pool_progress.cc
+++ b/cyclamenwood/pool_progress.cc
@@ -84,7 +84,7 @@
                     const pool_task& task,
                     const std::string& name,
                     unix_ms now) {
-  const leased_upstream* other = choose_upstream(pool, job, task, name, now);
+  const leased_upstream* other = choose_upstream(pool, job, task, name, nullptr, now);
   return other != nullptr && !task.failed_on.contains(other->info.id());
 }
 
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -335,6 +335,7 @@
   pool.unclaimed_ends.clear();
   pool.released.clear();
   pool.peers.clear();
+  pool.reservations.current.clear();
   for (auto& [id, upstream] : pool.upstreams) {
     wire::upstream info = upstream.info;
     uint64_t first_listed_version = upstream.first_listed_version;
--- a/cyclamenwood/testing/zone_load.h
+++ b/cyclamenwood/testing/zone_load.h
@@ -13,6 +13,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <compare>
 #include <concepts>
 #include <deque>
 #include <map>
@@ -38,6 +40,39 @@
 constexpr std::array<job_class, 3> JOB_CLASSES = {
     {{0.25, 8, 60}, {0.05, 4, 900}, {0.70, 2, 200}}};
 
+// The kinds of job by what a task takes, with tasks of mixed sizes
+// (`zone_load_options::mixed_sizes`).
+struct sized_class {
+  double share = 0;
+  uint32_t tasks = 0;
+  int64_t shortest_ms = 0;
+  int64_t longest_ms = 0;
+  uint32_t priority = 0;
+};
+
+constexpr std::array<sized_class, 3> SIZED_CLASSES = {
+    {{0.25, 8, 51, 60, 0}, {0.70, 2, 170, 200, 1}, {0.05, 4, 760, 900, 2}}};
+
+// Sizes of tasks, in thousandths of a core: normally distributed.
+constexpr double MEAN_SIZE = 8'000;
+constexpr double SIZE_DEVIATION = 1'600;
+constexpr double SMALLEST_SIZE = 1'000;
+constexpr double LARGEST_SIZE = 12'000;
+// A tenth of the sizes is above the first, three tenths above the second.
+constexpr double LARGEST_TENTH_SIZE = MEAN_SIZE + 1.2816 * SIZE_DEVIATION;
+constexpr double NEXT_FIFTH_SIZE = MEAN_SIZE + 0.5244 * SIZE_DEVIATION;
+
+enum class size_group { others, next_fifth, largest_tenth };
+
+// Processor time (thousandths of a core times ms) that a sized job needs.
+constexpr double mean_sized_work() {
+  double work = 0;
+  for (const sized_class& kind : SIZED_CLASSES)
+    work += kind.share * kind.tasks * MEAN_SIZE *
+            static_cast<double>(kind.shortest_ms + kind.longest_ms) / 2;
+  return work;
+}
+
 // Capacity of an upstream's slot times time that a job needs on average.
 constexpr double mean_work_ms() {
   double work = 0;
@@ -58,6 +93,14 @@
   // The routes of the queues q0, q1 and so on; each gets the same share of the
   // jobs.
   std::vector<uint32_t> priorities = {0};
+  // Jobs of SIZED_CLASSES. Every third upstream is larger by half. The routes
+  // are those of the classes' priorities.
+  bool mixed_sizes = false;
+  // The deviation of the logarithm of estimates from that of the run times.
+  double estimate_error = 0;
+  // The share of the runs of mixed sizes that take seven times as long.
+  double long_run_share = 0;
+  bool reserve_for_waiting = false;
 };
 
 // Jobs by their answers. `arrived` is the sum of the others and of those that
@@ -75,6 +118,12 @@
   size_t refused_started = 0;
 };
 
+struct job_group {
+  uint32_t priority = 0;
+  size_group size = size_group::others;
+  auto operator<=>(const job_group&) const = default;
+};
+
 // Handles the events of a host as they arrive.
 class unlimited_processor {
  public:
@@ -100,6 +149,8 @@
       : random_(seed), options_(std::move(options)) {
     for (uint32_t shard = 0; shard < options_.shards; ++shard)
       add_host(shard, processor);
+    if (options_.mixed_sizes)
+      use_mixed_sizes();
     for (uint32_t shard = 0; shard < options_.shards; ++shard)
       introduce(host_name(shard));
   }
@@ -115,7 +166,7 @@
     for (unix_ms end = now_ + span_ms; now_ < end;) {
       due_jobs += jobs_per_s / 1'000;
       for (; due_jobs > 0; --due_jobs)
-        submit();
+        options_.mixed_sizes ? submit_sized() : submit();
       step();
     }
     rest(2 * CALLER_WAIT_MS);
@@ -132,6 +183,10 @@
   const std::map<uint32_t, size_t>& in_time_by_priority() const {
     return in_time_by_priority_;
   }
+  // Jobs of mixed sizes.
+  const std::map<job_group, zone_load_counts>& groups() const {
+    return groups_;
+  }
   // Times between the arrival of jobs and their refusal.
   const std::vector<int64_t>& refusal_ms() const { return refusal_ms_; }
   size_t unanswered() const { return calls_.size(); }
@@ -162,6 +217,7 @@
     int64_t run_ms = 0;
     uint32_t priority = 0;
     bool started = false;
+    size_group size = size_group::others;
   };
 
   static uint64_t incarnation_of(uint32_t shard) {
@@ -203,6 +259,7 @@
     settings.name = host_name(shard);
     settings.rpc = host_name(shard);
     settings.zone = "kranj";
+    settings.reserve_for_waiting = options_.reserve_for_waiting;
     hosts_[host_name(shard)] = {
         make_host_entry(settings, incarnation_of(shard),
                         [this](std::string_view) -> result<route_table> {
@@ -222,6 +279,20 @@
     }
   }
 
+  void use_mixed_sizes() {
+    options_.priorities.clear();
+    for (const sized_class& kind : SIZED_CLASSES)
+      options_.priorities.push_back(kind.priority);
+    size_t index = 0;
+    for (fake_upstream& upstream : upstreams_) {
+      upstream.cpu_of = [this](const std::string& task) {
+        return cpu_milli_.at(exchange_of(task));
+      };
+      if (++index % 3 == 0)
+        upstream.set_capacity(options_.upstream_cpu_milli * 3 / 2);
+    }
+  }
+
   void introduce(const std::string& to) {
     wire::envelope envelope;
     envelope.set_from("control");
@@ -278,6 +349,59 @@
             host_call{now_, call});
   }
 
+  uint32_t draw_size() {
+    double size =
+        std::normal_distribution<>(MEAN_SIZE, SIZE_DEVIATION)(random_);
+    return static_cast<uint32_t>(std::clamp(size, SMALLEST_SIZE, LARGEST_SIZE));
+  }
+
+  size_t draw_sized_class() {
+    double drawn = std::uniform_real_distribution<>(0, 1)(random_);
+    for (size_t index = 0; index < SIZED_CLASSES.size(); ++index) {
+      if (drawn < SIZED_CLASSES[index].share)
+        return index;
+      drawn -= SIZED_CLASSES[index].share;
+    }
+    return SIZED_CLASSES.size() - 1;
+  }
+
+  void submit_sized() {
+    size_t queue = draw_sized_class();
+    const sized_class& kind = SIZED_CLASSES[queue];
+    uint64_t exchange = next_exchange_++;
+    int64_t usual_ms = between(kind.shortest_ms, kind.longest_ms);
+    double error =
+        std::normal_distribution<>(0, 1)(random_) * options_.estimate_error;
+    bool is_long = std::uniform_real_distribution<>(0, 1)(random_) <
+                   options_.long_run_share;
+    run_ms_[exchange] = is_long ? 7 * usual_ms : usual_ms;
+    cpu_milli_[exchange] = draw_size();
+    auto size = static_cast<double>(cpu_milli_[exchange]);
+    size_group group = size > LARGEST_TENTH_SIZE ? size_group::largest_tenth
+                       : size > NEXT_FIFTH_SIZE  ? size_group::next_fifth
+                                                 : size_group::others;
+    job_spec job;
+    job.spec = "s";
+    job.best_effort = true;
+    step_spec step;
+    step.count = kind.tasks;
+    step.need.set_cpu_milli(cpu_milli_[exchange]);
+    step.estimate_ms = std::max<int64_t>(
+        std::llround(static_cast<double>(usual_ms) * std::exp(error)), 1);
+    calls_[exchange] = {now_, step.estimate_ms, kind.priority, false, group};
+    ++counts_.arrived;
+    ++groups_[{kind.priority, group}].arrived;
+    job.steps = {step};
+    caller_call call;
+    call.exchange = exchange;
+    call.host = "h";
+    call.path = fmt::format("/q{}/{:016x}", queue, exchange);
+    call.wait_ms = CALLER_WAIT_MS;
+    call.job = std::move(job);
+    deliver(host_name(static_cast<uint32_t>(between(0, options_.shards - 1))),
+            host_call{now_, call});
+  }
+
   void step() {
     ++now_;
     for (delayed_message& delayed : std::exchange(messages_, {})) {
@@ -372,18 +496,22 @@
     auto found = calls_.find(answer.exchange);
     open_call call = found->second;
     calls_.erase(found);
+    zone_load_counts& group = groups_[{call.priority, call.size}];
     if (answer.outcome == caller_outcome::completed) {
       double objective_ms =
           TARGET_MS + SLACK_FACTOR * static_cast<double>(call.run_ms);
       bool in_time = static_cast<double>(now - call.sent_ms) <= objective_ms;
       ++(in_time ? counts_.in_time : counts_.late);
+      ++(in_time ? group.in_time : group.late);
       in_time_by_priority_[call.priority] += in_time ? 1 : 0;
     } else if (answer.outcome == caller_outcome::refused) {
       ++counts_.refused;
+      ++group.refused;
       counts_.refused_started += call.started ? 1 : 0;
       refusal_ms_.push_back(now - call.sent_ms);
     } else {
       ++counts_.ended;
+      ++group.ended;
       counts_.ended_unstarted += call.started ? 0 : 1;
     }
   }
@@ -398,8 +526,10 @@
   std::map<uint64_t, open_call> calls_;
   uint64_t next_exchange_ = 1;
   std::map<uint64_t, int64_t> run_ms_;
+  std::map<uint64_t, uint32_t> cpu_milli_;
   zone_load_counts counts_;
   std::map<uint32_t, size_t> in_time_by_priority_;
+  std::map<job_group, zone_load_counts> groups_;
   std::vector<int64_t> refusal_ms_;
   bool ran_twice_ = false;
 };
