--- a/cyclamenwood/pool_progress.cc
+++ b/cyclamenwood/pool_progress.cc
@@ -107,7 +107,8 @@
                                     const pool_task& task,
                                     const std::string& name,
                                     unix_ms now) {
-  const leased_upstream* other = choose_upstream(pool, job, task, name, now);
+  const leased_upstream* other =
+      choose_upstream(pool, job, task, name, nullptr, now);
   bool failed = other != nullptr && task.failed_on.contains(other->info.id());
   return failed ? nullptr : other;
 }
--- a/cyclamenwood/pool_runs.cc
+++ b/cyclamenwood/pool_runs.cc
@@ -342,6 +342,7 @@
   pool.released.clear();
   pool.peers.clear();
   pool.times = {};
+  pool.reservations.current.clear();
   for (auto& [id, upstream] : pool.upstreams) {
     wire::upstream info = upstream.info;
     uint64_t first_listed_version = upstream.first_listed_version;
