--- a/cyclamenwood/pool.h
+++ b/cyclamenwood/pool.h
@@ -176,8 +176,8 @@
   std::set<std::string> failed_on;
   // Attempts that were stopped in order to run elsewhere.
   int moves = 0;
-  // The time that it takes at speed 1, as its progress showed when it was moved;
-  // 0: not known.
+  // The time that it takes at speed 1, as its progress showed when it was
+  // moved; 0: not known.
   double size_ms = 0;
   wire::run_outcome outcome = wire::RUN_UNSPECIFIED;
 };
--- a/cyclamenwood/run_times.cc
+++ b/cyclamenwood/run_times.cc
@@ -15,8 +15,8 @@
 // Variance of the ratio that is assumed before runs are known: estimates that
 // are off by 40% (0.16) and one run in thirty that counts MAX_RATIO (0.13).
 constexpr double PRIOR_VARIANCE = 0.3;
-// Twelve equal upstreams were told apart for up to 0.8 s in 4 of 1,000 simulated
-// minutes with a value of 3, and in none of 3,000 with this one.
+// Twelve equal upstreams were told apart for up to 0.8 s in 4 of 1,000
+// simulated minutes with a value of 3, and in none of 3,000 with this one.
 constexpr double SIGNIFICANT_ERRORS = 3.5;
 
 void add_ratio(run_totals& totals, double ratio, unix_ms now) {
