--- a/cyclamenwood/testing/zone_load.h
+++ b/cyclamenwood/testing/zone_load.h
@@ -441,7 +441,8 @@
     step.need.set_cpu_milli(cpu_milli_[exchange]);
     step.estimate_ms = std::max<int64_t>(
         std::llround(static_cast<double>(usual_ms) * std::exp(error)), 1);
-    calls_[exchange] = {now_, step.estimate_ms, kind.priority, false, group};
+    calls_[exchange] = {
+        now_, step.estimate_ms, step.estimate_ms, kind.priority, false, group};
     ++counts_.arrived;
     ++groups_[{kind.priority, group}].arrived;
     job.steps = {step};
