--- a/cyclamenwood/testing/host_model_faults.cc
+++ b/cyclamenwood/testing/host_model_faults.cc
@@ -312,11 +312,12 @@
   if (told != told_.end()) {
     auto since = told->second.since_ms.find(zone);
     if (since != told->second.since_ms.end() &&
-        now_ > since->second + LONGEST_START_MS)
+        now_ > since->second + LONGEST_START_MS) {
       fail(
           fmt::format("{} is started {} ms after its owner was told of the "
                       "evacuation",
                       delayed.order.task, now_ - since->second));
+    }
   }
   auto since = evacuated_since_ms_.find(zone);
   if (faulty_ || since == evacuated_since_ms_.end())
--- a/cyclamenwood/testing/pool_reserve_test.cc
+++ b/cyclamenwood/testing/pool_reserve_test.cc
@@ -129,7 +129,7 @@
 
 // Fills the upstream with small tasks that end at different times.
 void fill(auto& fixture, int64_t run_ms) {
-  for (uint32_t i = 0; i < UPSTREAM_CPU / SMALL_CPU; ++i)
+  for (int64_t i = 0; i < UPSTREAM_CPU / SMALL_CPU; ++i)
     fixture(run_ms + i * 3);
 }
 
@@ -417,7 +417,7 @@
       add("u1");
       add("u2");
       own_pool();
-      for (int i = 0; i < 32; ++i)
+      for (int64_t i = 0; i < 32; ++i)
         submit(SMALL_CPU, RUN_MS / 2 + i * 3, RUN_MS, small_priority);
       uint64_t large = submit(LARGE_CPU, RUN_MS, RUN_MS, priority);
       EXPECT_LE(stream_until_start(large, RUN_MS, small_priority, 3'000),
@@ -549,11 +549,12 @@
     run_until(now + between(1, 40) * STEP_MS);
     state.reservations = {};
     say_hello("e1", 1);
-    for (int64_t i = between(1, 12); i > 0; --i)
+    for (int64_t i = between(1, 12); i > 0; --i) {
       request_runs(state, "e1",
                    make(next_job++, between(1, 12) * 1'000, between(50, 900),
                         static_cast<uint32_t>(between(0, 2))),
                    now, out);
+    }
     exhaustive_plan expected(state, now);
     std::map<uint64_t, std::string> places;
     for (const queue_key& key : state.queue) {
--- a/cyclamenwood/testing/reserve_load_test.cc
+++ b/cyclamenwood/testing/reserve_load_test.cc
@@ -83,11 +83,12 @@
 }
 
 void print(const char* name, const group_counts& groups) {
-  for (const auto& [group, counts] : groups)
+  for (const auto& [group, counts] : groups) {
     fmt::print("{} p{} size {}: {} in time {:.3f} late {:.3f} refused {:.3f}\n",
                name, group.priority, static_cast<int>(group.size),
                counts.arrived, in_time(counts), share(counts.late, counts),
                share(counts.refused, counts));
+  }
   fmt::print("{} all in time {:.4f}\n", name, in_time(total(groups)));
 }
 
