Pool: one check of a backfilled task's end, one sum of resources

Found on reading the whole change: whether a task ends before the reserved time was computed in two places of the reservations, and resources were added to amounts by code that reserve_resources() has for upstreams. Both have one function now.

--- a/cyclamenwood/pool_internal.h
+++ b/cyclamenwood/pool_internal.h
@@ -310,6 +310,8 @@
 // longer possible, its deadline.
 unix_ms latest_start_ms(const pool_job& job);
 resource_amount free_resources(const leased_upstream& upstream);
+void add_resources(resource_amount& amount, const wire::room& need);
+void subtract_resources(resource_amount& amount, const wire::room& need);
 void reserve_resources(leased_upstream& upstream, const wire::room& need);
 void release_resources(leased_upstream& upstream, const wire::room& need);
 queue_key key_of(const pool_job& job);
--- a/cyclamenwood/pool_place.cc
+++ b/cyclamenwood/pool_place.cc
@@ -278,16 +278,24 @@
           std::max<int64_t>(capacity.accelerators() - used.accelerators, 0)};
 }
 
+void add_resources(resource_amount& amount, const wire::room& need) {
+  amount.cpu_milli += need.cpu_milli();
+  amount.memory_mb += need.memory_mb();
+  amount.accelerators += need.accelerators();
+}
+
+void subtract_resources(resource_amount& amount, const wire::room& need) {
+  amount.cpu_milli -= need.cpu_milli();
+  amount.memory_mb -= need.memory_mb();
+  amount.accelerators -= need.accelerators();
+}
+
 void reserve_resources(leased_upstream& upstream, const wire::room& need) {
-  upstream.used.cpu_milli += need.cpu_milli();
-  upstream.used.memory_mb += need.memory_mb();
-  upstream.used.accelerators += need.accelerators();
+  add_resources(upstream.used, need);
 }
 
 void release_resources(leased_upstream& upstream, const wire::room& need) {
-  upstream.used.cpu_milli -= need.cpu_milli();
-  upstream.used.memory_mb -= need.memory_mb();
-  upstream.used.accelerators -= need.accelerators();
+  subtract_resources(upstream.used, need);
 }
 
 void demote_late_jobs(pool& pool, unix_ms now) {
--- a/cyclamenwood/pool_reserve.cc
+++ b/cyclamenwood/pool_reserve.cc
@@ -49,18 +49,6 @@
           capacity.accelerators() - upstream.used.accelerators};
 }
 
-void add(resource_amount& amount, const wire::room& need) {
-  amount.cpu_milli += need.cpu_milli();
-  amount.memory_mb += need.memory_mb();
-  amount.accelerators += need.accelerators();
-}
-
-void subtract(resource_amount& amount, const wire::room& need) {
-  amount.cpu_milli -= need.cpu_milli();
-  amount.memory_mb -= need.memory_mb();
-  amount.accelerators -= need.accelerators();
-}
-
 // The last time when a start lets the job meet its deadline.
 unix_ms last_useful_start_ms(const pool& pool,
                              const leased_upstream& upstream,
@@ -86,9 +74,9 @@
     at_ms = times[released].first;
     for (; released < times.size() && times[released].first == at_ms;
          ++released)
-      add(free, *times[released].second);
+      add_resources(free, *times[released].second);
   }
-  subtract(free, need);
+  subtract_resources(free, need);
   return expected_fit{at_ms, alone ? resource_amount{} : free};
 }
 
@@ -119,12 +107,17 @@
   return nullptr;
 }
 
-bool reservation_plan::delays(const entry& reserved,
-                              const wire::run_request& request) const {
+bool reservation_plan::ends_before(const entry& reserved,
+                                   const wire::run_request& request) const {
   int64_t run_ms = expected_run_ms(pool_, *reserved.upstream, request);
   // An estimate of 0 means that nothing is known of the run time.
-  bool ends_before = run_ms > 0 && now_ + run_ms <= reserved.fit.at_ms;
-  return !ends_before && !fits(request.need(), reserved.fit.spare);
+  return run_ms > 0 && now_ + run_ms <= reserved.fit.at_ms;
+}
+
+bool reservation_plan::delays(const entry& reserved,
+                              const wire::run_request& request) const {
+  return !ends_before(reserved, request) &&
+         !fits(request.need(), reserved.fit.spare);
 }
 
 bool reservation_plan::allows(const leased_upstream& upstream,
@@ -156,10 +149,8 @@
 void reservation_plan::task_started(const leased_upstream& upstream,
                                     const wire::run_request& request) {
   for (entry& reserved : entries_) {
-    int64_t run_ms = expected_run_ms(pool_, upstream, request);
-    bool ends_before = run_ms > 0 && now_ + run_ms <= reserved.fit.at_ms;
-    if (reserved.upstream == &upstream && !ends_before)
-      subtract(reserved.fit.spare, request.need());
+    if (reserved.upstream == &upstream && !ends_before(reserved, request))
+      subtract_resources(reserved.fit.spare, request.need());
   }
   update_largest_free();
 }
--- a/cyclamenwood/pool_reserve.h
+++ b/cyclamenwood/pool_reserve.h
@@ -99,6 +99,10 @@
   };
 
   const entry* find_entry(const leased_upstream& upstream) const;
+  // Whether a task of the request is expected to end on the reserved upstream
+  // before the reserved time.
+  bool ends_before(const entry& reserved,
+                   const wire::run_request& request) const;
   bool delays(const entry& reserved, const wire::run_request& request) const;
   // Whether a task of the job fits on a reserved upstream at present. Notes
   // which reservations keep it from starting.
