--- a/review/standin-3/lab.cc
+++ b/review/standin-3/lab.cc
@@ -186,19 +186,20 @@
       std::lock_guard lock(mutex_);
       if (!up_)
         return false;
-      body = {{"service", options_.service},
-              {"address", options_.address},
-              {"zone", options_.zone},
-              {"version", "v1"},
-              {"slots", 8},
-              {"state", draining_ ? "draining" : "ready"},
-              {"coldLeftMs", 0},
-              {"capacity",
-               {{"cpu", options_.cpu}, {"memMb", options_.mem_mb}, {"gpus", 0}}},
-              {"labels", labels_of(options_.labels)},
-              {"clockMs", clock(now_ms())},
-              {"born", born_ms_},
-              {"seqNo", ++sequence_}};
+      body = {
+          {"service", options_.service},
+          {"address", options_.address},
+          {"zone", options_.zone},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", draining_ ? "draining" : "ready"},
+          {"coldLeftMs", 0},
+          {"capacity",
+           {{"cpu", options_.cpu}, {"memMb", options_.mem_mb}, {"gpus", 0}}},
+          {"labels", labels_of(options_.labels)},
+          {"clockMs", clock(now_ms())},
+          {"born", born_ms_},
+          {"seqNo", ++sequence_}};
       to = options_.control[next_control_ % options_.control.size()];
     }
     http_message answered =
@@ -264,9 +265,9 @@
   if (draw() < with.late) {
     carry_out_late(request,
                    with.late_from_ms +
-                       static_cast<int64_t>(draw() * static_cast<double>(
-                                                with.late_to_ms -
-                                                with.late_from_ms)));
+                       static_cast<int64_t>(
+                           draw() * static_cast<double>(with.late_to_ms -
+                                                        with.late_from_ms)));
     sleep_ms(SILENCE_MS);
     return {};
   }
@@ -348,8 +349,8 @@
   started.end_ms = now + needed.work_ms;
   started.cpu = needed.cpu;
   started.mem_mb = needed.mem_mb;
-  started.number =
-      log_.run_started({task, attempt, options_.id, options_.labels, now, 0, {}});
+  started.number = log_.run_started(
+      {task, attempt, options_.id, options_.labels, now, 0, {}});
   return reply(STATUS_OK, "");
 }
 
@@ -387,9 +388,8 @@
     return reply(409, "fence");
   if (body.contains("deadlineMs"))
     extend_lease(body["deadlineMs"]);
-  std::erase_if(ended_, [seen](const ended& item) {
-    return item.number <= seen;
-  });
+  std::erase_if(ended_,
+                [seen](const ended& item) { return item.number <= seen; });
   int64_t wait_ms = std::min<int64_t>(body.value("waitMs", int64_t{0}), 2'000);
   changed_.wait_for(lock, std::chrono::milliseconds(wait_ms), [this, born] {
     return !ended_.empty() || !up_ || born != born_ms_;
@@ -480,9 +480,9 @@
       one.service = options_.service;
       one.address = with_port(
           address_of(static_cast<int>(zone) + 1, 100 + index), EXECUTOR_PORT);
-      one.labels = {index % 3 == 0 ? "b" : "a",
-                    "r" + std::to_string(zone) + "-" +
-                        std::to_string(index / 8)};
+      one.labels = {
+          index % 3 == 0 ? "b" : "a",
+          "r" + std::to_string(zone) + "-" + std::to_string(index / 8)};
       one.control = control();
       std::rotate(one.control.begin(),
                   one.control.begin() + index % one.control.size(),
@@ -562,27 +562,26 @@
   json zones = json::object();
   for (const std::string& zone : options_.zones)
     zones[zone] = "sl-central";
-  json settings = {
-      {"name", of.name},
-      {"zone", of.zone},
-      {"ip", of.ip},
-      {"rpc_port", RPC_PORT},
-      {"callers", of.is_core ? "" : front_address(of)},
-      {"readiness", of.is_core ? "" : ready_address(of)},
-      {"control", of.is_core ? control_address(of) : ""},
-      {"metrics", metrics_address(of)},
-      {"seeds", control()},
-      {"bootstrap", bootstrap},
-      {"data_folder", of.is_core ? folder_of(of) + "/data" : ""},
-      {"run_lease_ms", MAX_HOLD_MS},
-      {"resubmission_ms", 1'300},
-      {"tolerated_hosts", 1},
-      {"processor_share", of.is_core ? 0.5 : 0.25},
-      {"processor_cores", 1},
-      {"zones", zones},
-      {"learn_speeds", false},
-      {"reserve_for_waiting", false},
-      {"stop_grace_s", 6}};
+  json settings = {{"name", of.name},
+                   {"zone", of.zone},
+                   {"ip", of.ip},
+                   {"rpc_port", RPC_PORT},
+                   {"callers", of.is_core ? "" : front_address(of)},
+                   {"readiness", of.is_core ? "" : ready_address(of)},
+                   {"control", of.is_core ? control_address(of) : ""},
+                   {"metrics", metrics_address(of)},
+                   {"seeds", control()},
+                   {"bootstrap", bootstrap},
+                   {"data_folder", of.is_core ? folder_of(of) + "/data" : ""},
+                   {"run_lease_ms", MAX_HOLD_MS},
+                   {"resubmission_ms", 1'300},
+                   {"tolerated_hosts", 1},
+                   {"processor_share", of.is_core ? 0.5 : 0.25},
+                   {"processor_cores", 1},
+                   {"zones", zones},
+                   {"learn_speeds", false},
+                   {"reserve_for_waiting", false},
+                   {"stop_grace_s", 6}};
   return settings.dump(2);
 }
 
@@ -605,8 +604,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::getppid() != parent)
       ::_exit(126);
-    int file = ::open(output.c_str(),
-                      O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0640);
+    int file =
+        ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0640);
     ::dup2(file, STDOUT_FILENO);
     ::dup2(file, STDERR_FILENO);
     ::execve(program.c_str(), arguments, variables);
@@ -642,8 +641,8 @@
   for (size_t next = 0; now_ms() < until_ms; ++next) {
     std::string to = all[next % all.size()];
     for (int redirects = 0; redirects <= 2; ++redirects) {
-      http_message answered = call(to, "POST", "/-/config/replace", {}, text,
-                                   ANSWER_TIMEOUT_MS);
+      http_message answered =
+          call(to, "POST", "/-/config/replace", {}, text, ANSWER_TIMEOUT_MS);
       if (answered.status == STATUS_OK)
         return now_ms();
       if (answered.status != STATUS_REDIRECT)
@@ -665,7 +664,7 @@
                       {"host", item.host},
                       {"pathPrefix", item.prefix},
                       {"kind", "non_idempotent"},
-                      {"timeoutMs", 1500},
+                      {"timeoutMs", item.timeout_ms},
                       {"targetLatencyMs", 60},
                       {"priority", item.priority},
                       {"service", options_.service},
--- a/review/standin-3/lab.h
+++ b/review/standin-3/lab.h
@@ -202,6 +202,7 @@
   std::string host;
   std::string prefix;
   int priority = 1;
+  int64_t timeout_ms = 1'500;
 };
 
 class site {
--- a/review/standin-3/net.cc
+++ b/review/standin-3/net.cc
@@ -107,8 +107,8 @@
 bool connection::send(const std::string& bytes) {
   size_t sent = 0;
   while (socket_ >= 0 && sent < bytes.size()) {
-    ssize_t wrote = ::send(socket_, bytes.data() + sent, bytes.size() - sent,
-                           MSG_NOSIGNAL);
+    ssize_t wrote =
+        ::send(socket_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (wrote <= 0)
       return false;
     sent += wrote;
