--- a/review/standin-3/lab.cc
+++ b/review/standin-3/lab.cc
@@ -30,6 +30,8 @@
 constexpr int64_t SERVING_LIMIT_MS = 30'000;
 // How long a connection stays silent on which no answer comes.
 constexpr int64_t SILENCE_MS = 1'000;
+// After the start of a deadly task.
+constexpr int64_t FALL_AFTER_MS = 100;
 constexpr size_t MAX_LISTED_ENDS = 500;
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_REDIRECT = 307;
@@ -127,6 +129,9 @@
     std::lock_guard lock(mutex_);
     up_ = true;
     draining_ = false;
+    dark_ = false;
+    fallen_ = false;
+    falls_at_ms_ = INT64_MAX;
     born_ms_ = wall_ms();
     born_steady_ms_ = now_ms();
     sequence_ = 0;
@@ -146,6 +151,7 @@
   {
     std::lock_guard lock(mutex_);
     up_ = false;
+    dark_ = false;
     std::vector<std::string> names;
     for (const auto& [task, state] : active_)
       names.push_back(task);
@@ -223,6 +229,28 @@
   options_.labels = labels;
 }
 
+bool executor::has_fallen() {
+  std::lock_guard lock(mutex_);
+  return fallen_;
+}
+
+void executor::go_dark() {
+  std::lock_guard lock(mutex_);
+  fall(now_ms());
+}
+
+// Requires the lock.
+void executor::fall(int64_t now) {
+  std::vector<std::string> names;
+  for (const auto& [task, state] : active_)
+    names.push_back(task);
+  for (const std::string& task : names)
+    end(task, "crashed", now);
+  up_ = false;
+  dark_ = true;
+  fallen_ = true;
+}
+
 bool executor::is_up() {
   std::lock_guard lock(mutex_);
   return up_;
@@ -254,7 +282,8 @@
 http_message executor::answer(const http_message& request) {
   disturbance with;
   {
-    std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return !dark_; });
     if (!up_)
       return {};
     auto expected = request.headers.find("expect-instance");
@@ -349,6 +378,8 @@
   started.end_ms = now + needed.work_ms;
   started.cpu = needed.cpu;
   started.mem_mb = needed.mem_mb;
+  if (needed.deadly)
+    falls_at_ms_ = std::min(falls_at_ms_, now + FALL_AFTER_MS);
   started.number = log_.run_started(
       {task, attempt, options_.id, options_.labels, now, 0, {}});
   return reply(STATUS_OK, "");
@@ -448,6 +479,8 @@
 
 void executor::advance(int64_t now) {
   std::lock_guard lock(mutex_);
+  if (up_ && now >= falls_at_ms_)
+    fall(now);
   end_due(now);
 }
 
--- a/review/standin-3/lab.h
+++ b/review/standin-3/lab.h
@@ -31,6 +31,8 @@
   // The label that the executor must have; empty: none.
   std::string label;
   std::vector<int> depends_on;
+  // Each executor that starts such a task crashes.
+  bool deadly = false;
 };
 
 struct run {
@@ -117,6 +119,10 @@
   // Before a start: another kind or another size.
   void set_labels(const std::vector<std::string>& labels);
   bool is_up();
+  // Whether a deadly task has crashed it since the last start.
+  bool has_fallen();
+  // Ends all that runs there and says nothing more, as a machine without power.
+  void go_dark();
   const std::string& id() const { return options_.id; }
   const std::string& zone() const { return options_.zone; }
   const std::string& address() const { return options_.address; }
@@ -153,6 +159,7 @@
   void extend_lease(int64_t deadline_ms);
   void end(const std::string& task, const std::string& how, int64_t now);
   void end_due(int64_t now);
+  void fall(int64_t now);
   int64_t clock(int64_t now) const { return now - born_steady_ms_ + 1; }
   void announce_all();
   bool announce();
@@ -166,6 +173,9 @@
   std::condition_variable changed_;
   bool up_ = false;
   bool draining_ = false;
+  bool dark_ = false;
+  bool fallen_ = false;
+  int64_t falls_at_ms_ = INT64_MAX;
   disturbance disturbance_;
   int late_threads_ = 0;
   int64_t born_ms_ = 0;
