--- a/review/standin-3/net.cc
+++ b/review/standin-3/net.cc
@@ -69,10 +69,19 @@
   }
 }
 
+void add_header(std::string& text,
+                const std::string& name,
+                const std::string& value) {
+  text += name;
+  text += ": ";
+  text += value;
+  text += "\r\n";
+}
+
 std::string answer_text(const http_message& answer) {
   std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " X\r\n";
   for (const auto& [name, value] : answer.headers)
-    text += name + ": " + value + "\r\n";
+    add_header(text, name, value);
   text += "Content-Type: application/json\r\nContent-Length: " +
           std::to_string(answer.body.size()) + "\r\n\r\n";
   return text + answer.body;
@@ -165,7 +174,7 @@
   if (!headers.contains("Host"))
     text += "Host: lab.example\r\n";
   for (const auto& [name, value] : headers)
-    text += name + ": " + value + "\r\n";
+    add_header(text, name, value);
   if (method != "GET")
     text += "Content-Type: application/json\r\nContent-Length: " +
             std::to_string(body.size()) + "\r\n";
