Log what is open as an entry host stops

The lines of a drain told how many exchanges were open, not how many connections, and 'stopped' reached the reader when the process ended. They now count connections and those with bytes that were not read; 'stopped' is written at once, 'connections_closed' as an HTTP server ends, 'ended' when the daemon is destroyed.

--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -100,8 +100,8 @@
                     settings.zone, settings.rpc, state_.incarnation));
     on_tick();
     loop_.run();
-    log_line(log_level::info, "stopped",
-             fmt::format("open_exchanges={}", callers_.open_exchanges()));
+    log_line(log_level::info, "stopped", describe_connections());
+    flush_log();
     return done{};
   }
 
@@ -132,6 +132,12 @@
     return (uint64_t{device()} << 32 | device()) >> 1;
   }
 
+  std::string describe_connections() const {
+    return fmt::format("open_exchanges={} open_connections={} unread={}",
+                       callers_.open_exchanges(), callers_.open_connections(),
+                       callers_.unread_connections());
+  }
+
   void on_readiness(const http_request& request) {
     bool ready = request.path == Adapter::READY_PATH && is_ready(state_);
     readiness_.respond(request.exchange,
@@ -144,8 +150,10 @@
     handle(host_tick{now});
     if (!state_.draining)
       return;
-    if (now >= close_at_ms_)
+    if (now >= close_at_ms_ && !callers_.is_quiesced()) {
+      log_line(log_level::info, "quiesced", describe_connections());
       callers_.quiesce();
+    }
     bool idle = now >= close_at_ms_ && callers_.open_exchanges() == 0 &&
                 !is_owner(state_);
     if (idle || now >= exit_by_ms_)
@@ -167,8 +175,7 @@
     unix_ms now = current_time();
     close_at_ms_ = now + BALANCER_NOTICE_MS;
     exit_by_ms_ = now + state_.settings.stop_grace_ms - EXIT_RESERVE_MS;
-    log_line(log_level::info, "draining",
-             fmt::format("open_exchanges={}", callers_.open_exchanges()));
+    log_line(log_level::info, "draining", describe_connections());
     handle(host_drain{now, exit_by_ms_ - LAST_ANSWERS_MS});
   }
 
--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -115,6 +115,8 @@
   ev_io readiness{};
   std::unique_ptr<periodic_timer> housekeeping;
   std::map<uint64_t, exchange_state*> exchanges;
+  // The sockets of all open connections.
+  std::map<MHD_Connection*, int> connections;
   std::vector<std::string> captured_headers;
   uint64_t next_exchange = 1;
   bool closing = false;
@@ -336,6 +338,17 @@
       server->disconnected(id);
   }
 
+  static void on_connection(void* self,
+                            MHD_Connection* connection,
+                            void** /*context*/,
+                            MHD_ConnectionNotificationCode change) {
+    auto* server = static_cast<implementation*>(self);
+    if (change == MHD_CONNECTION_NOTIFY_CLOSED)
+      server->connections.erase(connection);
+    else if (std::optional<int> socket = socket_of(connection))
+      server->connections.emplace(connection, *socket);
+  }
+
   static void on_ready(struct ev_loop* /*loop*/,
                        ev_io* watcher,
                        int /*events*/) {
@@ -357,6 +370,10 @@
   implementation& self = *implementation_;
   if (self.daemon == nullptr)
     return;
+  log_line(
+      log_level::info, "connections_closed",
+      fmt::format("port={} open={} unread={} open_exchanges={}", port(),
+                  open_connections(), unread_connections(), open_exchanges()));
   ev_io_stop(self.loop.raw(), &self.readiness);
   for (auto& [id, exchange] : self.exchanges) {
     if (!exchange->suspended)
@@ -377,7 +394,8 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, nullptr,
       nullptr, &implementation::on_access, &self, MHD_OPTION_SOCK_ADDR,
       &value(socket_address), MHD_OPTION_NOTIFY_COMPLETED,
-      &implementation::on_completed, &self, MHD_OPTION_CONNECTION_LIMIT,
+      &implementation::on_completed, &self, MHD_OPTION_NOTIFY_CONNECTION,
+      &implementation::on_connection, &self, MHD_OPTION_CONNECTION_LIMIT,
       static_cast<unsigned int>(limits.max_connections),
       MHD_OPTION_PER_IP_CONNECTION_LIMIT,
       static_cast<unsigned int>(limits.max_connections_per_ip),
@@ -421,6 +439,10 @@
     ::close(listening);
 }
 
+bool http_server::is_quiesced() const {
+  return implementation_->closing;
+}
+
 uint16_t http_server::port() const {
   const MHD_DaemonInfo* info =
       MHD_get_daemon_info(implementation_->daemon, MHD_DAEMON_INFO_BIND_PORT);
@@ -431,4 +453,16 @@
   return implementation_->exchanges.size();
 }
 
+size_t http_server::open_connections() const {
+  return implementation_->connections.size();
+}
+
+size_t http_server::unread_connections() const {
+  const auto& connections = implementation_->connections;
+  return std::count_if(
+      connections.begin(), connections.end(), [](const auto& item) {
+        return read_caller_state(item.second) == caller_state::sends_more;
+      });
+}
+
 }  // namespace cyclamenwood
--- a/cyclamenwood/http_server.h
+++ b/cyclamenwood/http_server.h
@@ -68,8 +68,14 @@
 
   // Stops accepting connections; open ones are closed after their next answer.
   void quiesce();
+  bool is_quiesced() const;
   // The number of exchanges whose answer has not been sent completely.
   size_t open_exchanges() const;
+  // The number of connections, with or without an exchange.
+  size_t open_connections() const;
+  // The number of open connections that have received bytes which were not read
+  // yet.
+  size_t unread_connections() const;
 
  private:
   struct implementation;
--- a/programs/entryd.cc
+++ b/programs/entryd.cc
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <memory>
 #include <string>
 
 #include "cyclamenwood/entry_daemon.h"
@@ -40,8 +41,11 @@
   result<host_settings> loaded = load_host_settings(path);
   if (!ok(loaded))
     return report_error(PROGRAM, failure(loaded));
-  host_entry_daemon<platform::adapter> daemon(value(loaded), path);
-  result<done> ended = daemon.run();
+  auto daemon = std::make_unique<host_entry_daemon<platform::adapter>>(
+      value(loaded), path);
+  result<done> ended = daemon->run();
+  daemon.reset();
+  log_line(log_level::info, "ended", "");
   return ok(ended) ? EXIT_CODE_OK : report_error(PROGRAM, failure(ended));
 }
 
