Test: a request read by the last iteration of the loop is cut

Callers saw a request that was read 2.5 to 5 s after SIGTERM and never answered. Known red until the fix.

--- a/cyclamenwood/testing/shutdown_test.cc
+++ b/cyclamenwood/testing/shutdown_test.cc
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <functional>
 #include <memory>
@@ -13,6 +15,7 @@
 #include <utility>
 
 #include "cyclamenwood/host_entry_daemon.h"
+#include "cyclamenwood/rpc.h"
 #include "cyclamenwood/testing/deployment.h"
 #include "cyclamenwood/testing/raw_http.h"
 #include "platform/adapter.h"
@@ -20,6 +23,19 @@
 namespace cyclamenwood {
 namespace {
 
+constexpr char CONFIG[] =
+    R"({"version":7,"routes":[{"name":"r","host":"x","pathPrefix":"/a/",
+       "timeoutMs":1500,"service":"s","slackFactor":1.6}],
+       "services":[{"name":"s"}]})";
+constexpr char JOB[] =
+    R"({"spec":"x","bestEffort":true,"phases":[{"count":1,"cpu":1,
+       "memMb":1,"estimateMs":10}]})";
+constexpr char JOB_PATH[] = "/a/0123456789abcdef";
+constexpr char BUSY_PATH[] = "/busy";
+// An entry host stops to accept callers this long after the signal.
+constexpr int64_t QUIESCE_MS = 2'500;
+// Shorter than a delay for which an entry host refuses jobs.
+constexpr int64_t BUSY_MS = 60;
 // Longer than a connection that is being closed takes, on any machine.
 constexpr int CLOSE_LIMIT_MS = 5'000;
 
@@ -45,6 +61,42 @@
 
 struct observed_adapter : platform::adapter {
   using upstream_client = observed_upstream_client;
+
+  // Called for requests of BUSY_PATH, on the thread of the event loop.
+  static inline std::function<void()> on_busy;
+
+  static caller_call read_call(const http_request& request) {
+    if (request.path == BUSY_PATH)
+      on_busy();
+    return platform::read_call(request);
+  }
+};
+
+void sleep_until(unix_ms time) {
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(std::max<int64_t>(0, time - current_time())));
+}
+
+// Answers each hello of an entry host with a configuration.
+class fake_replica {
+ public:
+  explicit fake_replica(const std::string& address)
+      : rpc_({}, [this, address](const wire::envelope& received) {
+          if (!received.has_entry_hello())
+            return;
+          wire::envelope reply;
+          reply.set_from(address);
+          wire::roll_out& latest =
+              *reply.mutable_control_news()->mutable_latest();
+          latest.set_version(7);
+          latest.set_content(CONFIG);
+          rpc_.send(received.from(), std::move(reply));
+        }) {
+    EXPECT_TRUE(ok(rpc_.listen(address)));
+  }
+
+ private:
+  rpc_node rpc_;
 };
 
 class entry_host_shutdown : public testing::Test {
@@ -56,6 +108,7 @@
     settings.readiness = address_of(20'002);
     settings.metrics = address_of(20'003);
     settings.rpc = address_of(20'004);
+    settings.seeds = {address_of(20'005)};
   }
 
   // Runs a host entry daemon until it is destroyed; `use` runs beside it as
@@ -93,5 +146,35 @@
   EXPECT_TRUE(is_closed);
 }
 
+// Guards against requests that are read after the end of the drain was decided
+// and are then cut with the process.
+TEST_F(entry_host_shutdown, a_request_read_by_the_last_iteration_is_answered) {
+  fake_replica replica(settings.seeds.front());
+  observed_upstream_client::on_destruction = [] {};
+  std::unique_ptr<raw_http> kept;
+  unix_ms signal_ms = 0;
+  observed_adapter::on_busy = [&] {
+    sleep_until(signal_ms + QUIESCE_MS + BUSY_MS / 2);
+    kept->send(raw_http::post(JOB_PATH, JOB));
+  };
+  std::string answer;
+  run_daemon([&] {
+    EXPECT_TRUE(wait_until([this] {
+      return http_call(settings.readiness, "GET",
+                       std::string(platform::adapter::READY_PATH))
+                 .status == 200;
+    }));
+    kept = std::make_unique<raw_http>(settings.callers);
+    raw_http busy(settings.callers);
+    signal_ms = current_time();
+    ::kill(::getpid(), SIGTERM);
+    sleep_until(signal_ms + QUIESCE_MS - BUSY_MS / 2);
+    busy.send(raw_http::post(BUSY_PATH, "{}"));
+    EXPECT_NE(busy.receive().find("HTTP/1.1 "), std::string::npos);
+    answer = kept->receive();
+  });
+  EXPECT_NE(answer.find("HTTP/1.1 "), std::string::npos) << answer;
+}
+
 }  // namespace
 }  // namespace cyclamenwood
