Close the callers' connections before an entry host's loop ends

Callers saw a request that was read seconds after SIGTERM and never answered (LOST); others were cut up to 0.3 s after the process had stopped to read.

Cause: the drain ended when a tick found no open exchange and no pool. A kept connection without a request didn't count, and could bring a request at any moment: into the iteration of the loop that the tick had just ended (read, passed on and cut), or into the tear-down, in which the HTTP server was destroyed last. The reducer was told of the cut exchanges after its state had been destroyed.

An HTTP server now ends in phases: draining (answers carry Connection: close), quiesced (callers in the listening queue are accepted, then none; connections without a request are closed, the others after their answer), closed. The drain ends when no connection is open, so no request can follow, and the servers are closed before anything else is destroyed. Once the time is up, open connections are cut first and the reducer learns of it while it exists.

--- a/cyclamenwood/host_entry_daemon.h
+++ b/cyclamenwood/host_entry_daemon.h
@@ -101,6 +101,9 @@
     on_tick();
     loop_.run();
     log_line(log_level::info, "stopped", describe_connections());
+    callers_.close();
+    readiness_.close();
+    metrics_.close();
     flush_log();
     return done{};
   }
@@ -150,11 +153,11 @@
     handle(host_tick{now});
     if (!state_.draining)
       return;
-    if (now >= close_at_ms_ && !callers_.is_quiesced()) {
+    if (now >= close_at_ms_ && callers_.phase() == http_phase::draining) {
       log_line(log_level::info, "quiesced", describe_connections());
       callers_.quiesce();
     }
-    bool idle = now >= close_at_ms_ && callers_.open_exchanges() == 0 &&
+    bool idle = now >= close_at_ms_ && callers_.open_connections() == 0 &&
                 !is_owner(state_);
     if (idle || now >= exit_by_ms_)
       loop_.stop();
@@ -176,6 +179,7 @@
     close_at_ms_ = now + BALANCER_NOTICE_MS;
     exit_by_ms_ = now + state_.settings.stop_grace_ms - EXIT_RESERVE_MS;
     log_line(log_level::info, "draining", describe_connections());
+    callers_.drain();
     handle(host_drain{now, exit_by_ms_ - LAST_ANSWERS_MS});
   }
 
--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -8,6 +8,10 @@
 // the event loop does, to detect that the caller has disconnected. A request
 // may also have waited in the socket until its caller left, if this process was
 // slow or suspended; it is not passed to the handler.
+//
+// libmicrohttpd has no call that closes a connection which waits for its next
+// request. Such a connection is shut down here; libmicrohttpd then closes it as
+// one whose caller has left.
 #include "cyclamenwood/http_server.h"
 
 #include <arpa/inet.h>
@@ -15,6 +19,7 @@
 #include <fmt/format.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -89,6 +94,14 @@
 }  // namespace
 
 struct http_server::implementation {
+  struct connection_state {
+    int socket = -1;
+    // A request of it is being received or answered.
+    bool has_exchange = false;
+    // It was shut down while it had no exchange.
+    bool shut_down = false;
+  };
+
   // A request that has not been answered completely.
   struct exchange_state {
     uint64_t id = 0;
@@ -115,11 +128,10 @@
   ev_io readiness{};
   std::unique_ptr<periodic_timer> housekeeping;
   std::map<uint64_t, exchange_state*> exchanges;
-  // The sockets of all open connections.
-  std::map<MHD_Connection*, int> connections;
+  std::map<MHD_Connection*, connection_state> connections;
   std::vector<std::string> captured_headers;
   uint64_t next_exchange = 1;
-  bool closing = false;
+  http_phase phase = http_phase::serving;
   bool running = false;
   bool run_again = false;
 
@@ -158,6 +170,33 @@
     running = false;
     if (runs == MAX_RUNS_PER_ITERATION)
       ev_feed_event(loop.raw(), &readiness, EV_READ);
+    else if (phase == http_phase::quiesced)
+      shut_down_idle();
+  }
+
+  // Requires that libmicrohttpd has no work left: all requests that it has read
+  // are exchanges.
+  void shut_down_idle() {
+    for (auto& [connection, state] : connections) {
+      bool is_idle = !state.has_exchange && !state.shut_down &&
+                     read_caller_state(state.socket) == caller_state::waiting;
+      if (!is_idle)
+        continue;
+      state.shut_down = true;
+      ::shutdown(state.socket, SHUT_RDWR);
+    }
+  }
+
+  // Accepts the connections that callers have opened already.
+  void accept_waiting() {
+    const MHD_DaemonInfo* info =
+        MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    pollfd waiting{info->listen_fd, POLLIN, 0};
+    for (int runs = 0; runs < MAX_RUNS_PER_ITERATION; ++runs) {
+      run();
+      if (::poll(&waiting, 1, 0) <= 0)
+        return;
+    }
   }
 
   MHD_Result queue_answer(exchange_state& exchange) {
@@ -172,7 +211,7 @@
     }
     if (is_json)
       MHD_add_response_header(response, "Content-Type", "application/json");
-    if (closing)
+    if (phase != http_phase::serving)
       MHD_add_response_header(response, "Connection", "close");
     MHD_Result queued =
         MHD_queue_response(exchange.connection, answer.status, response);
@@ -218,6 +257,7 @@
         exchange->request.headers[name] = text;
     }
     exchanges[exchange->id] = exchange;
+    connections[connection].has_exchange = true;
     *context = exchange;
     if (!is_readable(exchange->request))
       exchange->answer = unreadable_answer();
@@ -246,8 +286,10 @@
       exchange.handled = true;
       if (exchange.too_large)
         exchange.answer = too_large_answer();
+      else if (connections[exchange.connection].shut_down)
+        exchange.answer = discard(exchange.request, "connection_closed");
       else if (has_disconnected(exchange.connection))
-        exchange.answer = discard(exchange.request);
+        exchange.answer = discard(exchange.request, "caller_disconnected");
       else
         handle(std::move(exchange.request));
     }
@@ -260,10 +302,11 @@
   }
 
   // Returns a placeholder for the answer.
-  static api_answer discard(const http_request& request) {
+  static api_answer discard(const http_request& request,
+                            std::string_view reason) {
     log_line(log_level::info, "request_discarded",
-             fmt::format("method={} bytes={} reason=caller_disconnected",
-                         request.method, request.body.size()));
+             fmt::format("method={} bytes={} reason={}", request.method,
+                         request.body.size(), reason));
     return {STATUS_CALLER_DISCONNECTED, "", {}};
   }
 
@@ -322,7 +365,7 @@
   }
 
   static void on_completed(void* self,
-                           MHD_Connection* /*connection*/,
+                           MHD_Connection* connection,
                            void** context,
                            MHD_RequestTerminationCode /*code*/) {
     auto* server = static_cast<implementation*>(self);
@@ -332,6 +375,7 @@
     uint64_t id = exchange->id;
     bool unanswered = exchange->handled && !exchange->answer;
     server->exchanges.erase(id);
+    server->connections[connection].has_exchange = false;
     delete exchange;
     *context = nullptr;
     if (unanswered)
@@ -346,7 +390,7 @@
     if (change == MHD_CONNECTION_NOTIFY_CLOSED)
       server->connections.erase(connection);
     else if (std::optional<int> socket = socket_of(connection))
-      server->connections.emplace(connection, *socket);
+      server->connections[connection].socket = *socket;
   }
 
   static void on_ready(struct ev_loop* /*loop*/,
@@ -367,21 +411,8 @@
                                            std::move(disconnected))) {}
 
 http_server::~http_server() {
-  implementation& self = *implementation_;
-  if (self.daemon == nullptr)
-    return;
-  log_line(
-      log_level::info, "connections_closed",
-      fmt::format("port={} open={} unread={} open_exchanges={}", port(),
-                  open_connections(), unread_connections(), open_exchanges()));
-  ev_io_stop(self.loop.raw(), &self.readiness);
-  for (auto& [id, exchange] : self.exchanges) {
-    if (!exchange->suspended)
-      continue;
-    ev_io_stop(self.loop.raw(), &exchange->caller);
-    MHD_resume_connection(exchange->connection);
-  }
-  MHD_stop_daemon(self.daemon);
+  implementation_->disconnected = [](uint64_t /*exchange*/) {};
+  close();
 }
 
 result<done> http_server::listen(const std::string& address) {
@@ -429,18 +460,46 @@
   implementation_->captured_headers = std::move(names);
 }
 
+void http_server::drain() {
+  implementation& self = *implementation_;
+  self.phase = std::max(self.phase, http_phase::draining);
+}
+
 void http_server::quiesce() {
   implementation& self = *implementation_;
-  if (self.closing)
+  if (self.phase >= http_phase::quiesced || self.daemon == nullptr)
     return;
-  self.closing = true;
+  self.phase = http_phase::quiesced;
+  self.accept_waiting();
   MHD_socket listening = MHD_quiesce_daemon(self.daemon);
   if (listening != MHD_INVALID_SOCKET)
     ::close(listening);
 }
 
-bool http_server::is_quiesced() const {
-  return implementation_->closing;
+void http_server::close() {
+  implementation& self = *implementation_;
+  self.phase = http_phase::closed;
+  if (self.daemon == nullptr)
+    return;
+  log_line(
+      log_level::info, "connections_closed",
+      fmt::format("port={} open={} unread={} open_exchanges={}", port(),
+                  open_connections(), unread_connections(), open_exchanges()));
+  self.housekeeping.reset();
+  ev_io_stop(self.loop.raw(), &self.readiness);
+  for (auto& [id, exchange] : self.exchanges) {
+    if (!exchange->suspended)
+      continue;
+    // A disconnect handler may answer other exchanges.
+    exchange->suspended = false;
+    ev_io_stop(self.loop.raw(), &exchange->caller);
+    MHD_resume_connection(exchange->connection);
+  }
+  MHD_stop_daemon(std::exchange(self.daemon, nullptr));
+}
+
+http_phase http_server::phase() const {
+  return implementation_->phase;
 }
 
 uint16_t http_server::port() const {
@@ -459,10 +518,11 @@
 
 size_t http_server::unread_connections() const {
   const auto& connections = implementation_->connections;
-  return std::count_if(
-      connections.begin(), connections.end(), [](const auto& item) {
-        return read_caller_state(item.second) == caller_state::sends_more;
-      });
+  return std::count_if(connections.begin(), connections.end(),
+                       [](const auto& item) {
+                         return read_caller_state(item.second.socket) ==
+                                caller_state::sends_more;
+                       });
 }
 
 }  // namespace cyclamenwood
--- a/cyclamenwood/http_server.h
+++ b/cyclamenwood/http_server.h
@@ -8,6 +8,10 @@
 // All functions and handlers run on the loop's thread. A request whose body
 // exceeds the limit is answered with request_too_large and does not reach the
 // handler.
+//
+// A server ends in the order of `http_phase`. A process that ends calls `close`
+// before it destroys anything that the handlers use, or that takes long to
+// destroy: a connection that stays open takes requests.
 #ifndef CYCLAMENWOOD_HTTP_SERVER_H_
 #define CYCLAMENWOOD_HTTP_SERVER_H_
 
@@ -35,6 +39,17 @@
   std::map<std::string, std::string> headers;
 };
 
+enum class http_phase {
+  serving,
+  // Answers tell the callers to use another connection.
+  draining,
+  // No connection is accepted. One without a request is closed at once, any
+  // other one after its answer.
+  quiesced,
+  // No connection is open.
+  closed,
+};
+
 class http_server {
  public:
   // Receives each complete request, which must be answered by `respond`. A
@@ -50,6 +65,7 @@
               disconnect_handler disconnected);
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
+  // Closes the server. The handlers are not called.
   ~http_server();
 
   // Sets the names of the request headers that are passed to the handler. Must
@@ -66,9 +82,14 @@
   // ignored.
   void respond(uint64_t exchange, const api_answer& answer);
 
-  // Stops accepting connections; open ones are closed after their next answer.
+  // Each enters a phase; no effect if it was reached before. `close` cuts the
+  // exchanges that are open and calls the disconnect handler for those without
+  // an answer.
+  void drain();
   void quiesce();
-  bool is_quiesced() const;
+  void close();
+  http_phase phase() const;
+
   // The number of exchanges whose answer has not been sent completely.
   size_t open_exchanges() const;
   // The number of connections, with or without an exchange.
--- a/cyclamenwood/metrics_page.h
+++ b/cyclamenwood/metrics_page.h
@@ -26,6 +26,8 @@
   // Listens on "ip:port". An empty address disables the page.
   result<done> listen(const std::string& address);
   uint16_t port() const { return server_.port(); }
+  // Closes all connections.
+  void close() { server_.close(); }
 
   // The metrics of the process.
   exposition& collector() { return collector_; }
--- a/cyclamenwood/testing/http_server_test.cc
+++ b/cyclamenwood/testing/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,6 +21,7 @@
 // Far more iterations than a request needs, and far fewer than happen between
 // two runs of the server's housekeeping.
 constexpr int MAX_ITERATIONS = 2'000;
+constexpr int CLOSE_LIMIT_MS = 5'000;
 
 class http_server_fixture : public testing::Test {
  protected:
@@ -31,7 +33,7 @@
               open.push_back(request.exchange);
               ++handled;
             },
-            [](uint64_t /*exchange*/) {}) {
+            [this](uint64_t exchange) { on_disconnect(exchange); }) {
     server.capture_headers({"Host"});
   }
 
@@ -57,9 +59,17 @@
     return run_until([this] { return server.open_exchanges() == 0; });
   }
 
+  // Answers the other open exchanges, as a reducer may.
+  void on_disconnect(uint64_t /*exchange*/) {
+    ++disconnected;
+    for (uint64_t other : open)
+      server.respond(other, {503, "{}", {}});
+  }
+
   event_loop loop;
   std::vector<uint64_t> open;
   int handled = 0;
+  int disconnected = 0;
   http_server server;
 };
 
@@ -95,16 +105,88 @@
   EXPECT_EQ(failure(listening).code, error_code::listen_failed);
 }
 
-// Guards against a lost request: a draining process stops when no exchange is
+// Guards against a lost request: a draining process stops when no connection is
 // open. A request that had been read from a kept-alive connection but was not
 // counted as open yet would be aborted by that.
-TEST_F(http_server_fixture, a_request_read_while_closing_is_open) {
+TEST_F(http_server_fixture, a_request_read_while_closing_is_answered) {
+  raw_http caller(address());
+  ASSERT_TRUE(exchange(caller));
+  caller.receive();
+  caller.send(raw_http::post("/x", "{}"));
+  server.quiesce();
+  ASSERT_TRUE(run_until([this] { return open.size() == 1; }));
+  EXPECT_EQ(server.open_exchanges(), 1U);
+  server.respond(open.front(), {200, "{}", {}});
+  EXPECT_TRUE(run_until([this] { return server.open_connections() == 0; }));
+  std::string answer = caller.receive();
+  EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos);
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
+// Guards against a lost request: a connection that is kept between two requests
+// would stay open until the process has ended.
+TEST_F(http_server_fixture, quiescing_closes_connections_without_a_request) {
+  raw_http caller(address());
+  ASSERT_TRUE(exchange(caller));
+  caller.receive();
+  raw_http unused(address());
+  ASSERT_TRUE(run_until([this] { return server.open_connections() == 2; }));
+  server.quiesce();
+  EXPECT_TRUE(run_until([this] { return server.open_connections() == 0; }));
+  EXPECT_TRUE(caller.closed_within(CLOSE_LIMIT_MS));
+  EXPECT_TRUE(unused.closed_within(CLOSE_LIMIT_MS));
+  EXPECT_EQ(handled, 1);
+}
+
+// Guards against a request that is executed though its answer can't be sent.
+TEST_F(http_server_fixture, a_request_on_a_closed_connection_is_not_handled) {
   raw_http caller(address());
   ASSERT_TRUE(exchange(caller));
   caller.receive();
   server.quiesce();
   caller.send(raw_http::post("/x", "{}"));
-  EXPECT_TRUE(run_until([this] { return server.open_exchanges() == 1; }));
+  EXPECT_TRUE(run_until([this] { return server.open_connections() == 0; }));
+  EXPECT_EQ(handled, 1);
+}
+
+// Guards against callers that wait in the queue of the listening socket as it
+// is closed.
+TEST_F(http_server_fixture, quiescing_accepts_the_connections_that_wait) {
+  std::vector<std::unique_ptr<raw_http>> callers;
+  for (int number = 0; number < 40; ++number) {
+    callers.push_back(std::make_unique<raw_http>(address()));
+    callers.back()->send(raw_http::post("/x", "{}"));
+  }
+  server.quiesce();
+  EXPECT_TRUE(run_until([&] { return open.size() == callers.size(); }));
+}
+
+// Guards against callers that keep using a connection until it is closed.
+TEST_F(http_server_fixture, an_answer_of_a_drain_closes_the_connection) {
+  raw_http caller(address());
+  ASSERT_TRUE(exchange(caller));
+  EXPECT_EQ(caller.receive().find("Connection: close"), std::string::npos);
+  server.drain();
+  ASSERT_TRUE(exchange(caller));
+  EXPECT_NE(caller.receive().find("Connection: close"), std::string::npos);
+  raw_http next(address());
+  EXPECT_TRUE(exchange(next));
+}
+
+// Guards against a use of the handlers' state while it is destroyed.
+TEST_F(http_server_fixture, closing_ends_the_exchanges_that_are_open) {
+  raw_http caller(address());
+  caller.send(raw_http::post("/x", "{}"));
+  raw_http second(address());
+  second.send(raw_http::post("/x", "{}"));
+  ASSERT_TRUE(run_until([this] { return open.size() == 2; }));
+  server.close();
+  EXPECT_EQ(server.open_exchanges(), 0U);
+  EXPECT_EQ(server.open_connections(), 0U);
+  // The handler has answered the second exchange.
+  EXPECT_EQ(disconnected, 1);
+  EXPECT_TRUE(caller.closed_within(CLOSE_LIMIT_MS));
+  server.respond(open.front(), {200, "{}", {}});
 }
 
 // Guards against messages that no receiver accepts and log lines that a caller
