End the HTTP service of the other daemons in the same order

A replica (both kinds) and the entry host of a deployment with one settings file stopped their loop while callers had connections open and requests could still be read, and left the rest to the order of their members.

They share server_drain now: it quiesces the server and stops the loop when no connection is open, or when the time for the last answers is up. The servers are closed before anything else is destroyed, also when the loop ends for an error. A replica answers what it can't settle any more with 503, so that operators and upstreams go on to the next one, and says that it has drained once instead of with each tick.

Tests: a_loop_that_drains_its_server_ends_after_answers and _in_time.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -19,6 +19,7 @@
 #include "cyclamenwood/metrics_page.h"
 #include "cyclamenwood/replica_runner.h"
 #include "cyclamenwood/route_table.h"
+#include "cyclamenwood/server_drain.h"
 #include "cyclamenwood/settings_watch.h"
 #include "cyclamenwood/types.h"
 #include "cyclamenwood/util/log.h"
@@ -46,10 +47,12 @@
                  settings_.evacuation_ms = changed.evacuation_ms;
                  feed(replica_seeds{current_time(), changed.seeds});
                }),
-        terminate_(loop_, SIGTERM, [this] { runner_.drain(); }),
-        interrupt_(loop_, SIGINT, [this] { runner_.drain(); }) {
+        terminate_(loop_, SIGTERM, [this] { drain(); }),
+        interrupt_(loop_, SIGINT, [this] { drain(); }),
+        server_drain_(loop_, http_) {
     runner_.set_answer_handler(
         [this](const replica_operator_answer& answer) { on_answer(answer); });
+    runner_.set_drained_handler([this] { end_service(); });
   }
 
   result<done> run() {
@@ -73,7 +76,12 @@
     if (result<done> up = metrics_.listen(settings_.metrics); !ok(up))
       return up;
     loop_.run();
-    log_line(log_level::info, "stopped", "");
+    log_line(log_level::info, "stopped",
+             fmt::format("open_exchanges={} open_connections={}",
+                         http_.open_exchanges(), http_.open_connections()));
+    http_.close();
+    metrics_.close();
+    flush_log();
     return runner_.outcome();
   }
 
@@ -81,6 +89,9 @@
   static constexpr int STATUS_OK = 200;
   static constexpr int STATUS_BAD_REQUEST = 400;
   static constexpr int STATUS_NOT_FOUND = 404;
+  static constexpr int STATUS_UNAVAILABLE = 503;
+  // Time for the last answers, after the drain.
+  static constexpr int64_t LAST_ANSWERS_MS = 500;
   static constexpr size_t MAX_LOGGED_ID_BYTES = 64;
 
   // The election timeout allows for two lost heartbeats, and for the two syncs
@@ -144,13 +155,27 @@
     return runner_.open(settings_.data_folder);
   }
 
+  void drain() {
+    http_.drain();
+    runner_.drain();
+  }
+
+  // This replica may have left the group: what it still accepted would be lost.
+  void end_service() {
+    for (const auto& [exchange, path] : std::exchange(paths_, {}))
+      answer(exchange, STATUS_UNAVAILABLE);
+    server_drain_.begin(current_time() + LAST_ANSWERS_MS);
+  }
+
   void answer(uint64_t exchange, int status) {
     http_.respond(exchange, {status, "{}"});
   }
 
   void on_request(const http_request& request) {
     std::string_view path = request.path;
-    if (request.method == "POST" && path == Adapter::REPLACE_PATH) {
+    if (server_drain_.has_begun()) {
+      answer(request.exchange, STATUS_UNAVAILABLE);
+    } else if (request.method == "POST" && path == Adapter::REPLACE_PATH) {
       submit_config(request);
     } else if (request.method == "GET" && path == Adapter::READ_PATH) {
       paths_[request.exchange] = request.path;
@@ -280,6 +305,7 @@
   settings_watch watch_;
   signal_watcher terminate_;
   signal_watcher interrupt_;
+  server_drain server_drain_;
   // Request paths of operators' requests without an answer yet, by exchange.
   std::map<uint64_t, std::string> paths_;
   bool sync_posted_ = false;
--- a/cyclamenwood/entry_daemon.cc
+++ b/cyclamenwood/entry_daemon.cc
@@ -18,14 +18,15 @@
 #include "cyclamenwood/loop.h"
 #include "cyclamenwood/metrics.h"
 #include "cyclamenwood/rpc.h"
+#include "cyclamenwood/server_drain.h"
 #include "cyclamenwood/util/log.h"
 
 namespace cyclamenwood {
 namespace {
 
 constexpr int64_t IDLE_TICK_INTERVAL_MS = 100;
-constexpr int64_t FLUSH_INTERVAL_MS = 10;
-constexpr int64_t FLUSH_LIMIT_MS = 2000;
+// Time for the last answers, after the drain.
+constexpr int64_t LAST_ANSWERS_MS = 2'000;
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
 
@@ -87,7 +88,8 @@
              }),
         tick_(loop_, TICK_INTERVAL_MS, [this] { on_tick(); }),
         terminate_(loop_, SIGTERM, [this] { drain(); }),
-        interrupt_(loop_, SIGINT, [this] { drain(); }) {}
+        interrupt_(loop_, SIGINT, [this] { drain(); }),
+        server_drain_(loop_, http_) {}
 
   result<done> run() {
     const entry_host_settings& self =
@@ -102,6 +104,8 @@
                          self.http, self.rpc));
     loop_.run();
     log_line(log_level::info, "stopped", "");
+    http_.close();
+    flush_log();
     return done{};
   }
 
@@ -120,7 +124,10 @@
     tick_.set_interval(idle ? IDLE_TICK_INTERVAL_MS : TICK_INTERVAL_MS);
   }
 
-  void drain() { handle(entry_drain{current_time()}); }
+  void drain() {
+    http_.drain();
+    handle(entry_drain{current_time()});
+  }
 
   void on_request(const http_request& request) {
     unix_ms now = current_time();
@@ -199,18 +206,8 @@
 
   void execute(const entry_count& effect) { metrics_.count(effect.kind); }
 
-  // Stops the loop once the remaining answers have been sent, or after
-  // FLUSH_LIMIT_MS.
   void execute(const entry_drained& /*effect*/) {
-    if (flush_)
-      return;
-    http_.quiesce();
-    unix_ms limit_ms = current_time() + FLUSH_LIMIT_MS;
-    flush_ = std::make_unique<periodic_timer>(
-        loop_, FLUSH_INTERVAL_MS, [this, limit_ms] {
-          if (http_.open_exchanges() == 0 || current_time() >= limit_ms)
-            loop_.stop();
-        });
+    server_drain_.begin(current_time() + LAST_ANSWERS_MS);
   }
 
   event_loop loop_;
@@ -222,7 +219,7 @@
   periodic_timer tick_;
   signal_watcher terminate_;
   signal_watcher interrupt_;
-  std::unique_ptr<periodic_timer> flush_;
+  server_drain server_drain_;
 };
 
 }  // namespace
--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -497,11 +497,11 @@
 }
 
 // `has_left`: all groups can do without this replica.
-void check_drained(const replica_state& state,
+void check_drained(replica_state& state,
                    bool has_left,
                    unix_ms now,
                    outbox& out) {
-  if (!state.draining)
+  if (!state.draining || state.drained)
     return;
   bool leads = false;
   for (const auto& [name, group] : state.groups)
@@ -516,6 +516,7 @@
   add_log_event(out, "drain_ended", state.host,
                 fmt::format("complete={} leads={} has_left={}", complete, leads,
                             has_left));
+  state.drained = true;
   out.effects.push_back(replica_drained{});
 }
 
--- a/cyclamenwood/replica.h
+++ b/cyclamenwood/replica.h
@@ -243,6 +243,7 @@
   unix_ms hello_at_ms = 0;
   bool draining = false;
   unix_ms drain_until_ms = 0;
+  bool drained = false;
   int64_t last_sync_us = 0;
 };
 
--- a/cyclamenwood/replica_daemon.cc
+++ b/cyclamenwood/replica_daemon.cc
@@ -11,6 +11,7 @@
 #include "cyclamenwood/http_server.h"
 #include "cyclamenwood/loop.h"
 #include "cyclamenwood/replica_runner.h"
+#include "cyclamenwood/server_drain.h"
 #include "cyclamenwood/util/log.h"
 
 namespace cyclamenwood {
@@ -18,6 +19,8 @@
 
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
+// Time for the last answers, after the drain.
+constexpr int64_t LAST_ANSWERS_MS = 500;
 
 std::map<std::string, std::string> peer_addresses(const settings& all,
                                                   const std::string& name) {
@@ -56,8 +59,12 @@
                 all.replica,
                 all.raft.heartbeat_interval_ms,
                 peer_addresses(all, name)),
-        terminate_(loop_, SIGTERM, [this] { runner_.drain(); }),
-        interrupt_(loop_, SIGINT, [this] { runner_.drain(); }) {}
+        terminate_(loop_, SIGTERM, [this] { drain(); }),
+        interrupt_(loop_, SIGINT, [this] { drain(); }),
+        server_drain_(loop_, http_) {
+    runner_.set_drained_handler(
+        [this] { server_drain_.begin(current_time() + LAST_ANSWERS_MS); });
+  }
 
   result<done> run(const std::string& folder) {
     result<wal_contents> contents = runner_.open(folder);
@@ -82,6 +89,8 @@
       return started;
     loop_.run();
     log_line(log_level::info, "stopped", "");
+    http_.close();
+    flush_log();
     return runner_.outcome();
   }
 
@@ -98,6 +107,11 @@
     return done{};
   }
 
+  void drain() {
+    http_.drain();
+    runner_.drain();
+  }
+
   void on_request(const http_request& request) {
     if (request.path == "/healthz") {
       http_.respond(
@@ -107,7 +121,7 @@
       http_.respond(request.exchange, {STATUS_OK, status_page()});
     } else if (request.path == "/v1/drain" && request.method == "POST") {
       http_.respond(request.exchange, {STATUS_OK, R"({"draining":true})"});
-      runner_.drain();
+      drain();
     } else {
       http_.respond(request.exchange,
                     failure_answer(error{error_code::not_found, request.path},
@@ -151,6 +165,7 @@
   replica_runner runner_;
   signal_watcher terminate_;
   signal_watcher interrupt_;
+  server_drain server_drain_;
 };
 
 }  // namespace
--- a/cyclamenwood/replica_runner.cc
+++ b/cyclamenwood/replica_runner.cc
@@ -68,6 +68,10 @@
   answer_ = std::move(handler);
 }
 
+void replica_runner::set_drained_handler(drained_handler handler) {
+  drained_ = std::move(handler);
+}
+
 void replica_runner::handle(const replica_event& event) {
   if (failed_)
     return;
@@ -141,7 +145,10 @@
 }
 
 void replica_runner::execute(const replica_drained& /*effect*/) {
-  loop_.stop();
+  if (drained_)
+    drained_();
+  else
+    loop_.stop();
 }
 
 void replica_runner::execute(const replica_operator_answer& effect) {
--- a/cyclamenwood/replica_runner.h
+++ b/cyclamenwood/replica_runner.h
@@ -25,6 +25,7 @@
 class replica_runner {
  public:
   using answer_handler = std::function<void(const replica_operator_answer&)>;
+  using drained_handler = std::function<void()>;
 
   // `peers` maps hosts to addresses. In seeded deployments a host's name is its
   // address, and the map may be empty.
@@ -43,13 +44,16 @@
 
   // Sets the receiver of answers to operators' requests.
   void set_answer_handler(answer_handler handler);
+  // Sets the function that ends the process after a drain. By default the loop
+  // is stopped.
+  void set_drained_handler(drained_handler handler);
 
   // Handles one event; `sync` must follow before the loop waits again.
   void handle(const replica_event& event);
   // Syncs until no unsynced write is left: handling the end of a sync may cause
   // further writes.
   void sync();
-  // Hands leadership over, then stops the loop.
+  // Hands leadership over, then calls the drained handler.
   void drain();
 
   // The error that stopped the loop, if any.
@@ -76,6 +80,7 @@
   std::unique_ptr<periodic_timer> tick_;
   int64_t tick_interval_ms_;
   answer_handler answer_;
+  drained_handler drained_;
   bool unsynced_ = false;
   uint64_t rewritten_bytes_ = 0;
   std::optional<error> failed_;
--- a/cyclamenwood/testing/http_server_test.cc
+++ b/cyclamenwood/testing/http_server_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "cyclamenwood/loop.h"
+#include "cyclamenwood/server_drain.h"
 #include "cyclamenwood/testing/raw_http.h"
 
 namespace cyclamenwood {
@@ -189,6 +190,34 @@
   server.respond(open.front(), {200, "{}", {}});
 }
 
+// Guards against a process that ends with requests that were read.
+TEST_F(http_server_fixture, a_loop_that_drains_its_server_ends_after_answers) {
+  raw_http caller(address());
+  raw_http kept(address());
+  ASSERT_TRUE(exchange(kept));
+  kept.receive();
+  caller.send(raw_http::post("/x", "{}"));
+  ASSERT_TRUE(run_until([this] { return open.size() == 1; }));
+  server_drain drain(loop, server);
+  drain.begin(INT64_MAX);
+  EXPECT_TRUE(run_until([this] { return server.open_connections() == 1; }));
+  loop.post([this] { server.respond(open.front(), {200, "{}", {}}); });
+  loop.run();
+  EXPECT_EQ(server.open_connections(), 0U);
+  EXPECT_NE(caller.receive().find("HTTP/1.1 200"), std::string::npos);
+}
+
+TEST_F(http_server_fixture, a_loop_that_drains_its_server_ends_in_time) {
+  raw_http caller(address());
+  caller.send(raw_http::post("/x", "{}"));
+  ASSERT_TRUE(run_until([this] { return open.size() == 1; }));
+  server_drain drain(loop, server);
+  drain.begin(current_time());
+  loop.run();
+  server.close();
+  EXPECT_EQ(disconnected, 1);
+}
+
 // Guards against messages that no receiver accepts and log lines that a caller
 // writes: both take text from the path and the Host header.
 TEST_F(http_server_fixture, a_request_whose_path_is_not_text_is_refused) {
