Answer all requests that were read on a draining connection

Callers that send a request before the answer to the one before saw the first answered and the second, which had been read, cut: libmicrohttpd drops what it has read behind an answer with Connection: close.

An answer now closes the connection only if the caller has sent nothing behind its request, told by the bytes that the connection has received (TCP_INFO) and the sizes of its requests. Otherwise the connection goes on and is closed once it has no request. Where the system does not tell, or requests are sent in chunks, the sizes differ and the connection is closed a little later, or as before.

--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -11,12 +11,15 @@
 //
 // libmicrohttpd has no call that closes a connection which waits for its next
 // request. Such a connection is shut down here; libmicrohttpd then closes it as
-// one whose caller has left.
+// one whose caller has left. It drops the requests behind an answer that closes
+// the connection, which it may have read, so an answer does that only if there
+// are none.
 #include "cyclamenwood/http_server.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fmt/format.h>
+#include <linux/tcp.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -65,6 +68,23 @@
   return info->connect_fd;
 }
 
+// Returns the size of the request line and the headers.
+size_t header_bytes(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info = MHD_get_connection_info(
+      connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  return info == nullptr ? 0 : info->header_size;
+}
+
+// Returns how many bytes the connection has received, read or not; 0 if the
+// system does not tell.
+uint64_t received_bytes(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    return 0;
+  return info.tcpi_bytes_received;
+}
+
 bool has_disconnected(MHD_Connection* connection) {
   std::optional<int> socket = socket_of(connection);
   return socket && read_caller_state(*socket) == caller_state::disconnected;
@@ -100,6 +120,8 @@
     bool has_exchange = false;
     // It was shut down while it had no exchange.
     bool shut_down = false;
+    // Size of all requests that were received in full.
+    uint64_t request_bytes = 0;
   };
 
   // A request that has not been answered completely.
@@ -199,6 +221,11 @@
     }
   }
 
+  // Whether the caller has sent bytes behind its latest request.
+  static bool has_further_request(const connection_state& connection) {
+    return received_bytes(connection.socket) > connection.request_bytes;
+  }
+
   MHD_Result queue_answer(exchange_state& exchange) {
     const api_answer& answer = *exchange.answer;
     MHD_Response* response = MHD_create_response_from_buffer(
@@ -211,7 +238,9 @@
     }
     if (is_json)
       MHD_add_response_header(response, "Content-Type", "application/json");
-    if (phase != http_phase::serving)
+    bool ends = phase != http_phase::serving &&
+                !has_further_request(connections[exchange.connection]);
+    if (ends)
       MHD_add_response_header(response, "Connection", "close");
     MHD_Result queued =
         MHD_queue_response(exchange.connection, answer.status, response);
@@ -258,6 +287,7 @@
     }
     exchanges[exchange->id] = exchange;
     connections[connection].has_exchange = true;
+    connections[connection].request_bytes += header_bytes(connection);
     *context = exchange;
     if (!is_readable(exchange->request))
       exchange->answer = unreadable_answer();
@@ -270,6 +300,7 @@
   }
 
   MHD_Result receive(exchange_state& exchange, const char* data, size_t* size) {
+    connections[exchange.connection].request_bytes += *size;
     size_t total_bytes = exchange.request.body.size() + *size;
     if (total_bytes > static_cast<size_t>(limits.max_body_bytes)) {
       exchange.too_large = true;
--- a/cyclamenwood/testing/http_server_test.cc
+++ b/cyclamenwood/testing/http_server_test.cc
@@ -174,6 +174,40 @@
   EXPECT_TRUE(exchange(next));
 }
 
+// Guards against requests that were read and are dropped: libmicrohttpd drops
+// those behind an answer that closes the connection.
+TEST_F(http_server_fixture, all_pipelined_requests_of_a_drain_are_answered) {
+  raw_http caller(address());
+  ASSERT_TRUE(exchange(caller));
+  caller.receive();
+  caller.send(raw_http::post("/x", "{}") + raw_http::post("/x", "{\n}"));
+  ASSERT_TRUE(run_until([this] { return open.size() == 1; }));
+  server.quiesce();
+  server.respond(std::exchange(open, {}).front(), {200, "{}", {}});
+  EXPECT_NE(caller.receive().find("HTTP/1.1 200"), std::string::npos);
+  ASSERT_TRUE(run_until([this] { return open.size() == 1; }));
+  server.respond(open.front(), {200, "{}", {}});
+  EXPECT_TRUE(run_until([this] { return server.open_connections() == 0; }));
+  std::string last = caller.receive();
+  EXPECT_NE(last.find("HTTP/1.1 200"), std::string::npos);
+  EXPECT_NE(last.find("Connection: close"), std::string::npos);
+}
+
+// The same for one that arrives while the request before it is answered.
+TEST_F(http_server_fixture, a_request_sent_before_an_answer_is_answered) {
+  raw_http caller(address());
+  caller.send(raw_http::post("/x", "{}"));
+  ASSERT_TRUE(run_until([this] { return open.size() == 1; }));
+  server.quiesce();
+  caller.send(raw_http::post("/x", "{}"));
+  server.respond(std::exchange(open, {}).front(), {200, "{}", {}});
+  EXPECT_NE(caller.receive().find("HTTP/1.1 200"), std::string::npos);
+  ASSERT_TRUE(run_until([this] { return open.size() == 1; }));
+  server.respond(open.front(), {200, "{}", {}});
+  EXPECT_TRUE(run_until([this] { return server.open_connections() == 0; }));
+  EXPECT_NE(caller.receive().find("HTTP/1.1 200"), std::string::npos);
+}
+
 // Guards against a use of the handlers' state while it is destroyed.
 TEST_F(http_server_fixture, closing_ends_the_exchanges_that_are_open) {
   raw_http caller(address());
