Refuse requests that are read while a replica's end begins

A replica that may have left its group answered its open orders first and then quiesced its server, which reads the requests that wait in the sockets. Those were handled as before: an order went into a table that nobody answers any more and was cut after 0.5 s, an announcement got a 200 that was not true.

The drain of the server counts as begun before it is quiesced, and the open orders are answered after that. requests_read_while_a_drain_begins_know_of_it fails with the order before (shown by the reviewer's program for server_drain). The limits of the three daemons get a name that tells them from that of the entry host.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -90,8 +90,8 @@
   static constexpr int STATUS_BAD_REQUEST = 400;
   static constexpr int STATUS_NOT_FOUND = 404;
   static constexpr int STATUS_UNAVAILABLE = 503;
-  // Time for the last answers, after the drain.
-  static constexpr int64_t LAST_ANSWERS_MS = 500;
+  // Longest time from the end of the drain until all connections are closed.
+  static constexpr int64_t CLOSE_TIMEOUT_MS = 500;
   static constexpr size_t MAX_LOGGED_ID_BYTES = 64;
 
   // The election timeout allows for two lost heartbeats, and for the two syncs
@@ -162,9 +162,9 @@
 
   // This replica may have left the group: what it still accepted would be lost.
   void end_service() {
+    server_drain_.begin(current_time() + CLOSE_TIMEOUT_MS);
     for (const auto& [exchange, path] : std::exchange(paths_, {}))
       answer(exchange, STATUS_UNAVAILABLE);
-    server_drain_.begin(current_time() + LAST_ANSWERS_MS);
   }
 
   void answer(uint64_t exchange, int status) {
--- a/cyclamenwood/entry_daemon.cc
+++ b/cyclamenwood/entry_daemon.cc
@@ -25,8 +25,8 @@
 namespace {
 
 constexpr int64_t IDLE_TICK_INTERVAL_MS = 100;
-// Time for the last answers, after the drain.
-constexpr int64_t LAST_ANSWERS_MS = 2'000;
+// Longest time from the end of the drain until all connections are closed.
+constexpr int64_t CLOSE_TIMEOUT_MS = 2'000;
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
 
@@ -207,7 +207,7 @@
   void execute(const entry_count& effect) { metrics_.count(effect.kind); }
 
   void execute(const entry_drained& /*effect*/) {
-    server_drain_.begin(current_time() + LAST_ANSWERS_MS);
+    server_drain_.begin(current_time() + CLOSE_TIMEOUT_MS);
   }
 
   event_loop loop_;
--- a/cyclamenwood/replica_daemon.cc
+++ b/cyclamenwood/replica_daemon.cc
@@ -19,8 +19,8 @@
 
 constexpr int STATUS_OK = 200;
 constexpr int STATUS_UNAVAILABLE = 503;
-// Time for the last answers, after the drain.
-constexpr int64_t LAST_ANSWERS_MS = 500;
+// Longest time from the end of the drain until all connections are closed.
+constexpr int64_t CLOSE_TIMEOUT_MS = 500;
 
 std::map<std::string, std::string> peer_addresses(const settings& all,
                                                   const std::string& name) {
@@ -63,7 +63,7 @@
         interrupt_(loop_, SIGINT, [this] { drain(); }),
         server_drain_(loop_, http_) {
     runner_.set_drained_handler(
-        [this] { server_drain_.begin(current_time() + LAST_ANSWERS_MS); });
+        [this] { server_drain_.begin(current_time() + CLOSE_TIMEOUT_MS); });
   }
 
   result<done> run(const std::string& folder) {
--- a/cyclamenwood/server_drain.h
+++ b/cyclamenwood/server_drain.h
@@ -26,14 +26,15 @@
   void begin(unix_ms stop_by_ms) {
     if (poll_)
       return;
-    server_.quiesce();
     poll_ = std::make_unique<periodic_timer>(
         loop_, POLL_INTERVAL_MS, [this, stop_by_ms] {
           if (server_.open_connections() == 0 || current_time() >= stop_by_ms)
             loop_.stop();
         });
+    server_.quiesce();
   }
 
+  // Also true for the requests that are received while the server is quiesced.
   bool has_begun() const { return poll_ != nullptr; }
 
  private:
--- a/cyclamenwood/testing/http_server_test.cc
+++ b/cyclamenwood/testing/http_server_test.cc
@@ -33,6 +33,7 @@
             [this](const http_request& request) {
               open.push_back(request.exchange);
               ++handled;
+              on_request();
             },
             [this](uint64_t exchange) { on_disconnect(exchange); }) {
     server.capture_headers({"Host"});
@@ -71,6 +72,7 @@
   std::vector<uint64_t> open;
   int handled = 0;
   int disconnected = 0;
+  std::function<void()> on_request = [] {};
   http_server server;
 };
 
@@ -241,6 +243,20 @@
   EXPECT_NE(caller.receive().find("HTTP/1.1 200"), std::string::npos);
 }
 
+// Guards against a request that is accepted after the end has begun.
+TEST_F(http_server_fixture, requests_read_while_a_drain_begins_know_of_it) {
+  raw_http caller(address());
+  ASSERT_TRUE(exchange(caller));
+  caller.receive();
+  caller.send(raw_http::post("/x", "{}"));
+  server_drain drain(loop, server);
+  bool knew = false;
+  on_request = [&] { knew = drain.has_begun(); };
+  drain.begin(INT64_MAX);
+  ASSERT_TRUE(run_until([this] { return open.size() == 1; }));
+  EXPECT_TRUE(knew);
+}
+
 TEST_F(http_server_fixture, a_loop_that_drains_its_server_ends_in_time) {
   raw_http caller(address());
   caller.send(raw_http::post("/x", "{}"));
