Let a second signal not put off the end of a replica

Each SIGTERM gave a replica another 3 s to leave its group; two that are 2.9 s apart end it 6.4 s after the first, past the grace period of 6 s. a_second_signal_does_not_put_off_the_end fails before, 1 of 1, and passes now. Entry hosts ignore the second signal already.

--- a/cyclamenwood/replica.cc
+++ b/cyclamenwood/replica.cc
@@ -594,6 +594,8 @@
 }
 
 void on_event(replica_state& state, const replica_drain& event, outbox& out) {
+  if (state.draining)
+    return;
   state.draining = true;
   state.drain_until_ms = event.now + HANDOVER_TIMEOUT_MS;
   for (const auto& [name, group] : state.groups) {
--- a/cyclamenwood/testing/control_test.cc
+++ b/cyclamenwood/testing/control_test.cc
@@ -715,6 +715,18 @@
             (std::set<std::string>{"10.0.0.3:7", "10.0.0.4:7", "10.0.0.5:7"}));
 }
 
+// Guards against a replica that is killed at the end of its grace period.
+TEST_F(control_fixture, a_second_signal_does_not_put_off_the_end) {
+  run_for(3000);
+  cut = {"10.0.0.2:7", "10.0.0.3:7"};
+  feed("10.0.0.1:7", replica_drain{now});
+  run_for(2900);
+  EXPECT_FALSE(cut.contains("10.0.0.1:7"));
+  feed("10.0.0.1:7", replica_drain{now});
+  run_for(200);
+  EXPECT_TRUE(cut.contains("10.0.0.1:7"));
+}
+
 TEST_F(control_fixture, upstreams_reach_their_zones_entry_hosts_only) {
   run_for(3000);
   hello("e1", "kranj");
