HTTP server: one check for connections that were shut down

A request on a connection that was shut down reads as one whose caller has left, so the check of its own is dropped (no test could reach it). The header says that the phases follow listen() and aren't entered by handlers.

--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -209,7 +209,8 @@
     }
   }
 
-  // Accepts the connections that callers have opened already.
+  // Accepts the connections that callers have opened already, as far as the
+  // limit of runs allows.
   void accept_waiting() {
     const MHD_DaemonInfo* info =
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD);
@@ -239,7 +240,7 @@
     if (is_json)
       MHD_add_response_header(response, "Content-Type", "application/json");
     bool ends = phase != http_phase::serving &&
-                !has_further_request(connections[exchange.connection]);
+                !has_further_request(connections.at(exchange.connection));
     if (ends)
       MHD_add_response_header(response, "Connection", "close");
     MHD_Result queued =
@@ -286,8 +287,9 @@
         exchange->request.headers[name] = text;
     }
     exchanges[exchange->id] = exchange;
-    connections[connection].has_exchange = true;
-    connections[connection].request_bytes += header_bytes(connection);
+    connection_state& state = connections.at(connection);
+    state.has_exchange = true;
+    state.request_bytes += header_bytes(connection);
     *context = exchange;
     if (!is_readable(exchange->request))
       exchange->answer = unreadable_answer();
@@ -300,7 +302,7 @@
   }
 
   MHD_Result receive(exchange_state& exchange, const char* data, size_t* size) {
-    connections[exchange.connection].request_bytes += *size;
+    connections.at(exchange.connection).request_bytes += *size;
     size_t total_bytes = exchange.request.body.size() + *size;
     if (total_bytes > static_cast<size_t>(limits.max_body_bytes)) {
       exchange.too_large = true;
@@ -317,10 +319,8 @@
       exchange.handled = true;
       if (exchange.too_large)
         exchange.answer = too_large_answer();
-      else if (connections[exchange.connection].shut_down)
-        exchange.answer = discard(exchange.request, "connection_closed");
       else if (has_disconnected(exchange.connection))
-        exchange.answer = discard(exchange.request, "caller_disconnected");
+        exchange.answer = discard(exchange.request);
       else
         handle(std::move(exchange.request));
     }
@@ -333,11 +333,10 @@
   }
 
   // Returns a placeholder for the answer.
-  static api_answer discard(const http_request& request,
-                            std::string_view reason) {
+  static api_answer discard(const http_request& request) {
     log_line(log_level::info, "request_discarded",
-             fmt::format("method={} bytes={} reason={}", request.method,
-                         request.body.size(), reason));
+             fmt::format("method={} bytes={} reason=caller_disconnected",
+                         request.method, request.body.size()));
     return {STATUS_CALLER_DISCONNECTED, "", {}};
   }
 
@@ -406,7 +405,7 @@
     uint64_t id = exchange->id;
     bool unanswered = exchange->handled && !exchange->answer;
     server->exchanges.erase(id);
-    server->connections[connection].has_exchange = false;
+    server->connections.at(connection).has_exchange = false;
     delete exchange;
     *context = nullptr;
     if (unanswered)
@@ -420,8 +419,9 @@
     auto* server = static_cast<implementation*>(self);
     if (change == MHD_CONNECTION_NOTIFY_CLOSED)
       server->connections.erase(connection);
-    else if (std::optional<int> socket = socket_of(connection))
-      server->connections[connection].socket = *socket;
+    else
+      server->connections[connection].socket =
+          socket_of(connection).value_or(-1);
   }
 
   static void on_ready(struct ev_loop* /*loop*/,
--- a/cyclamenwood/http_server.h
+++ b/cyclamenwood/http_server.h
@@ -82,9 +82,10 @@
   // ignored.
   void respond(uint64_t exchange, const api_answer& answer);
 
-  // Each enters a phase; no effect if it was reached before. `close` cuts the
-  // exchanges that are open and calls the disconnect handler for those without
-  // an answer.
+  // Each enters a phase after `listen`; no effect if it was reached before.
+  // `quiesce` first receives what callers have sent. `close` cuts the exchanges
+  // that are open and calls the disconnect handler for those without an answer.
+  // Neither may be called by a handler.
   void drain();
   void quiesce();
   void close();
