--- a/cyclamenwood/testing/raw_http.cc
+++ b/cyclamenwood/testing/raw_http.cc
@@ -23,9 +23,8 @@
   target.sin_port = htons(std::stoi(address.substr(colon + 1)));
   inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
   socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (::connect(socket_, reinterpret_cast<sockaddr*>(&target), sizeof target) !=
-      0)
-    std::perror(address.c_str());
+  is_connected_ = ::connect(socket_, reinterpret_cast<sockaddr*>(&target),
+                            sizeof target) == 0;
 }
 
 raw_http::~raw_http() {
--- a/cyclamenwood/testing/raw_http.h
+++ b/cyclamenwood/testing/raw_http.h
@@ -15,6 +15,8 @@
   raw_http& operator=(const raw_http&) = delete;
   ~raw_http();
 
+  bool is_connected() const { return is_connected_; }
+
   // The bytes of a POST request.
   static std::string post(const std::string& path, const std::string& body);
   void send(const std::string& bytes);
@@ -29,6 +31,7 @@
   bool read_more(int limit_ms);
 
   int socket_ = -1;
+  bool is_connected_ = false;
   std::string buffer_;
 };
 
