--- a/cyclamenwood/http_server.cc
+++ b/cyclamenwood/http_server.cc
@@ -120,7 +120,7 @@
     bool has_exchange = false;
     // It was shut down while it had no exchange.
     bool shut_down = false;
-    // Size of all requests that were received in full.
+    // Size of the requests that were read, without the framing of chunks.
     uint64_t request_bytes = 0;
   };
 
