--- a/cyclamenwood/testing/deployment.cc
+++ b/cyclamenwood/testing/deployment.cc
@@ -50,6 +50,8 @@
   return self.parent_path().string();
 }
 
+}  // namespace
+
 pid_t spawn(const std::vector<std::string>& command, const std::string& log) {
   pid_t pid = fork();
   if (pid != 0)
@@ -66,8 +68,6 @@
   _exit(127);
 }
 
-}  // namespace
-
 std::string http_reply::outcome() const {
   nlohmann::json parsed = json();
   if (!parsed.is_object())
--- a/cyclamenwood/testing/deployment.h
+++ b/cyclamenwood/testing/deployment.h
@@ -80,6 +80,10 @@
 // executable.
 std::string program_path(const std::string& name);
 
+// Starts a program with arguments, which appends its output to the log. It is
+// killed when this process ends.
+pid_t spawn(const std::vector<std::string>& command, const std::string& log);
+
 // Polls the condition until it holds. Returns false if it doesn't within the
 // limit.
 bool wait_until(const std::function<bool()>& condition,
