Log when a replica begins to serve and when it drops events

After `write_failed` a replica that was started on a full disk writes no line any more, so its log can't tell three explanations apart: the process hangs before its event loop, the loop runs and drops all events, or the replica takes part in the control log and is outvoted.

New lines: `serving` as the event loop begins, and `events_dropped` for the first event that is dropped after a failed write. `log_rewritten` is written only if the rewrite succeeded; the one behind `write_failed` was false.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -75,6 +75,7 @@
       return up;
     if (result<done> up = metrics_.listen(settings_.metrics); !ok(up))
       return up;
+    log_line(log_level::info, "serving", "");
     loop_.run();
     log_line(log_level::info, "stopped",
              fmt::format("open_exchanges={} open_connections={}",
--- a/cyclamenwood/replica_daemon.cc
+++ b/cyclamenwood/replica_daemon.cc
@@ -87,6 +87,7 @@
             std::move(state), std::move(value(contents).writes), self.rpc);
         !ok(started))
       return started;
+    log_line(log_level::info, "serving", "");
     loop_.run();
     log_line(log_level::info, "stopped", "");
     http_.close();
--- a/cyclamenwood/replica_runner.cc
+++ b/cyclamenwood/replica_runner.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <chrono>
 #include <thread>
+#include <utility>
 
 #include "cyclamenwood/util/log.h"
 
@@ -73,8 +74,11 @@
 }
 
 void replica_runner::handle(const replica_event& event) {
-  if (failed_)
+  if (failed_) {
+    if (!std::exchange(has_dropped_events_, true))
+      log_line(log_level::warning, "events_dropped", "reason=write_failed");
     return;
+  }
   replica_effects effects = reduce(state_, event);
   for (const replica_effect& effect : effects)
     std::visit([this](const auto& kind) { execute(kind); }, effect);
@@ -89,7 +93,8 @@
       std::this_thread::sleep_for(
           std::chrono::milliseconds(options_.added_sync_delay_ms));
     check(folder_.sync());
-    handle(replica_synced{current_time(), monotonic_us() - started_us});
+    if (!failed_)
+      handle(replica_synced{current_time(), monotonic_us() - started_us});
   }
   rewrite_log_if_large();
 }
@@ -100,6 +105,8 @@
   if (!grown || failed_)
     return;
   check(folder_.rewrite(dump_writes(state_)));
+  if (failed_)
+    return;
   rewritten_bytes_ = folder_.size();
   log_line(log_level::info, "log_rewritten",
            fmt::format("bytes={}", rewritten_bytes_));
--- a/cyclamenwood/replica_runner.h
+++ b/cyclamenwood/replica_runner.h
@@ -84,6 +84,7 @@
   bool unsynced_ = false;
   uint64_t rewritten_bytes_ = 0;
   std::optional<error> failed_;
+  bool has_dropped_events_ = false;
 };
 
 }  // namespace cyclamenwood
