Keep a stop of the event loop that comes before its run

With the next lost disk acknowledged configurations couldn't be read back. Upstreams whose heartbeats it had answered with 200 got tasks long after they had said that they leave.

Cause: a failed write stops the event loop (replica_runner::check). A replica whose log is large rewrites it while it starts, before the loop runs, and ev_run clears an ev_break that came before it. So the process served with a failed log: it dropped each event, SIGTERM included.

Evidence: `serving` and `events_dropped` after `write_failed`.

Why it works: the loop keeps the stop, so that `run` returns at once whoever called `stop` before. The start of a replica also returns the failure, so that its process ends before it listens for upstreams and operators. It is started again until it can write, and then takes part.

No other daemon stops its loop before it runs.

--- a/cyclamenwood/loop.cc
+++ b/cyclamenwood/loop.cc
@@ -62,11 +62,15 @@
   ev_loop_destroy(loop_);
 }
 
+// ev_run clears an ev_break that came before it.
 void event_loop::run() {
-  ev_run(loop_, 0);
+  if (!is_stopped_)
+    ev_run(loop_, 0);
+  is_stopped_ = false;
 }
 
 void event_loop::stop() {
+  is_stopped_ = true;
   ev_break(loop_, EVBREAK_ALL);
 }
 
--- a/cyclamenwood/loop.h
+++ b/cyclamenwood/loop.h
@@ -35,8 +35,9 @@
   event_loop& operator=(const event_loop&) = delete;
   ~event_loop();
 
-  // Runs until `stop` is called.
+  // Runs until `stop` is called. Returns at once if that was before the call.
   void run();
+  // Ends the current run after its iteration, or the next one before it begins.
   void stop();
   // The libev loop, for watchers of other modules. Owned by this object.
   struct ev_loop* raw() {
@@ -63,6 +64,7 @@
   // Guarded by mutex_.
   std::vector<std::function<void()>> posted_;
   std::function<void()> batch_handler_;
+  bool is_stopped_ = false;
 };
 
 // Calls `callback` every `interval_ms` until destroyed.
--- a/cyclamenwood/replica_runner.cc
+++ b/cyclamenwood/replica_runner.cc
@@ -62,7 +62,7 @@
   });
   handle(replica_started{current_time()});
   sync();
-  return done{};
+  return outcome();
 }
 
 void replica_runner::set_answer_handler(answer_handler handler) {
--- a/cyclamenwood/replica_runner.h
+++ b/cyclamenwood/replica_runner.h
@@ -37,7 +37,8 @@
   // Opens the data folder and reads its log.
   result<wal_contents> open(const std::string& folder);
 
-  // Replays the writes, listens on `rpc_address` and starts the replica.
+  // Replays the writes, listens on `rpc_address` and starts the replica. Fails
+  // if the replica can't write its log.
   result<done> start(replica_state state,
                      std::vector<wire::wal_write> writes,
                      const std::string& rpc_address);
--- a/cyclamenwood/testing/starts_test.cc
+++ b/cyclamenwood/testing/starts_test.cc
@@ -5,6 +5,7 @@
 #include <sys/resource.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <future>
 #include <thread>
@@ -312,6 +313,35 @@
   EXPECT_EQ(site.starts_of("kranj:b"), 1U);
 }
 
+// Guards against a replica that goes on without taking part, since its first
+// write failed while it started.
+TEST(starts, a_replica_that_cannot_write_as_it_starts_ends) {
+  constexpr uintmax_t MAX_LOG_BYTES = 4096;
+  nlohmann::json settings;
+  settings["replica"]["max_log_bytes"] = MAX_LOG_BYTES;
+  deployment site({.zones = {"kranj"},
+                   .replicas_a_zone = 1,
+                   .settings = std::move(settings)});
+  site.start();
+  ASSERT_TRUE(site.start_serving());
+  for (int i = 0; i < 50; ++i)
+    site.submit("kranj-1", fmt::format("kranj:{}", i), 1, "ms=5");
+  EXPECT_EQ(site.stop_process("kranj-r1"), 0);
+  std::filesystem::path folder = site.data_folder("kranj-r1");
+  ASSERT_GT(std::filesystem::file_size(folder / "log"), MAX_LOG_BYTES);
+  // Nothing can be written in its place, so the rewrite of the log fails.
+  std::filesystem::create_directory(folder / "log.new");
+  site.start_process("kranj-r1");
+  ASSERT_EQ(site.wait_for_exit("kranj-r1"), 4) << site.log_of("kranj-r1");
+  std::filesystem::remove(folder / "log.new");
+  site.start_process("kranj-r1");
+  ASSERT_TRUE(wait_until([&] {
+    return site.submit("kranj-1", "kranj:after", 1, "ms=5", 3000).outcome() ==
+           "complete";
+  }));
+  EXPECT_LE(site.max_starts(), 1U);
+}
+
 // A full claim table refuses new jobs as `not_run` and keeps existing claims.
 TEST(starts, a_full_table_refuses_new_jobs) {
   deployment site({.settings = {{"replica", {{"max_claim_records", 5}}}}});
