Refuse requests that a replica reads after a failed write

The loop of a replica ends with its current iteration after a failed write. Announcements that this iteration read later were answered with 200, and their events were dropped: an upstream was told that its drain is known when no replica knew it.

The control daemon answers 503 once a write has failed, so that the upstream or the operator asks the next replica. Nothing of such a request was taken, as with requests that are read after the end of a drain.

Test: full_disk.an_announcement_after_a_failed_write_is_not_acknowledged lets one iteration read 16 announcements around a configuration that can't be written.

--- a/cyclamenwood/control_daemon.h
+++ b/cyclamenwood/control_daemon.h
@@ -174,7 +174,7 @@
 
   void on_request(const http_request& request) {
     std::string_view path = request.path;
-    if (server_drain_.has_begun()) {
+    if (server_drain_.has_begun() || runner_.has_failed()) {
       answer(request.exchange, STATUS_UNAVAILABLE);
     } else if (request.method == "POST" && path == Adapter::REPLACE_PATH) {
       submit_config(request);
--- a/cyclamenwood/replica_runner.h
+++ b/cyclamenwood/replica_runner.h
@@ -49,7 +49,8 @@
   // is stopped.
   void set_drained_handler(drained_handler handler);
 
-  // Handles one event; `sync` must follow before the loop waits again.
+  // Handles one event; `sync` must follow before the loop waits again. Drops
+  // the event once a write has failed.
   void handle(const replica_event& event);
   // Syncs until no unsynced write is left: handling the end of a sync may cause
   // further writes.
@@ -59,6 +60,9 @@
 
   // The error that stopped the loop, if any.
   result<done> outcome() const;
+  // Whether a write has failed. Requests that the last iteration of the loop
+  // reads after that must be refused.
+  bool has_failed() const { return failed_.has_value(); }
 
   const replica_state& state() const { return state_; }
   uint64_t log_bytes() const { return folder_.size(); }
