Keep the exit code of a program whose error can't be printed

What operators saw: a process that ends on purpose looks like a crash where its output goes to the disk that is full.

The message is written with fputs, which reports the failure by its result. Test: ctl.an_error_that_cannot_be_printed_keeps_its_exit_code; before: signal 6, now code 2.

--- a/cyclamenwood/testing/ctl_test.cc
+++ b/cyclamenwood/testing/ctl_test.cc
@@ -37,6 +37,17 @@
   return result;
 }
 
+// Guards against a program that aborts since its error message can't be
+// written, as on a full disk.
+TEST(ctl, an_error_that_cannot_be_printed_keeps_its_exit_code) {
+  pid_t pid = spawn({program_path("cyclamenwoodctl"), "no", "such", "command"},
+                    "/dev/full");
+  int status = 0;
+  ASSERT_EQ(waitpid(pid, &status, 0), pid);
+  EXPECT_TRUE(WIFEXITED(status)) << "signal " << WTERMSIG(status);
+  EXPECT_EQ(WEXITSTATUS(status), 2);
+}
+
 TEST(ctl, commands_and_exit_codes) {
   deployment site({.zones = {"kranj"}, .upstreams_a_zone = 1});
   site.start();
--- a/cyclamenwood/util/program.cc
+++ b/cyclamenwood/util/program.cc
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <string>
 
 namespace cyclamenwood {
 
@@ -28,7 +29,9 @@
 }
 
 int report_error(std::string_view program, const error& failed) {
-  fmt::print(stderr, "{}: {}\n", program, to_string(failed));
+  // fmt::print would throw if standard error can't be written.
+  std::string line = fmt::format("{}: {}\n", program, to_string(failed));
+  std::fputs(line.c_str(), stderr);
   return exit_code_of(failed);
 }
 
--- a/cyclamenwood/util/program.h
+++ b/cyclamenwood/util/program.h
@@ -25,7 +25,8 @@
 // The exit code of a program that ends with this error.
 int exit_code_of(const error& failed);
 
-// Prints "program: code: detail" to standard error. Returns the exit code.
+// Prints "program: code: detail" to standard error, as far as that can be
+// written. Returns the exit code.
 int report_error(std::string_view program, const error& failed);
 
 // Turns off the search for lock-order cycles that Debian's build of Abseil
