--- a/cyclamenwood/testing/deployment.cc
+++ b/cyclamenwood/testing/deployment.cc
@@ -68,6 +68,16 @@
   _exit(127);
 }
 
+int wait_for_exit(pid_t& pid, int64_t limit_ms) {
+  int state = 0;
+  bool ended = wait_until([&] { return waitpid(pid, &state, WNOHANG) == pid; },
+                          limit_ms);
+  if (!ended)
+    return -1;
+  pid = -1;
+  return WIFEXITED(state) ? WEXITSTATUS(state) : -1;
+}
+
 std::string http_reply::outcome() const {
   nlohmann::json parsed = json();
   if (!parsed.is_object())
@@ -353,15 +363,7 @@
 }
 
 int deployment::wait_for_exit(const std::string& name, int64_t limit_ms) {
-  process& ending = processes_.at(name);
-  int state = 0;
-  bool ended = wait_until(
-      [&] { return waitpid(ending.pid, &state, WNOHANG) == ending.pid; },
-      limit_ms);
-  if (!ended)
-    return -1;
-  ending.pid = -1;
-  return WIFEXITED(state) ? WEXITSTATUS(state) : -1;
+  return cyclamenwood::wait_for_exit(processes_.at(name).pid, limit_ms);
 }
 
 int deployment::stop_process(const std::string& name, int64_t limit_ms) {
--- a/cyclamenwood/testing/deployment.h
+++ b/cyclamenwood/testing/deployment.h
@@ -84,6 +84,11 @@
 // killed when this process ends.
 pid_t spawn(const std::vector<std::string>& command, const std::string& log);
 
+// Waits for a process that `spawn` started, and sets `pid` to -1 once it has
+// ended. Returns its exit code, or -1 if it was killed by a signal or did not
+// end within the limit.
+int wait_for_exit(pid_t& pid, int64_t limit_ms = 20'000);
+
 // Polls the condition until it holds. Returns false if it doesn't within the
 // limit.
 bool wait_until(const std::function<bool()>& condition,
@@ -132,8 +137,6 @@
   int stop_process(const std::string& name, int64_t limit_ms = 20'000);
   bool is_running(const std::string& name);
   pid_t pid_of(const std::string& name) const;
-  // Waits for the process to end. Returns its exit code, or -1 if it was
-  // killed by a signal or did not end within the limit.
   int wait_for_exit(const std::string& name, int64_t limit_ms = 20'000);
   std::string log_of(const std::string& name) const;
   // For the message of a failed check: the current status page of each process
